--- /dev/null
+++ b/Makefile
@@ -0,0 +1,97 @@
+# jujubestage: build, tests and checks. "make" builds ./jujubestage.
+
+CC ?= gcc
+PKGS = libwebsockets glib-2.0 libsodium libxxhash json-c libtirpc
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -largtable2 -llog4c -lm
+CFLAGS ?= -O2 -g
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wpointer-arith -Wvla -Wno-missing-field-initializers
+# Generated and rpcgen code is not ours to style; it only has to compile.
+GEN_WARNINGS = -Wall -Wno-unused-variable
+ALL_CFLAGS = -std=gnu11 $(CFLAGS) -I. -Iproto $(PKG_CFLAGS) -D_GNU_SOURCE -MMD -MP
+
+BUILD = build
+GEN_SRCS = $(wildcard proto/*.c)
+MAIN_SRC = jujubestage.c
+LIB_SRCS = $(filter-out $(MAIN_SRC),$(wildcard *.c))
+BUILTIN_SRCS = $(wildcard builtin/*.c)
+TEST_SRCS = $(wildcard t/test-*.c)
+HELPER_SRCS = $(wildcard t/helper/*.c)
+
+LIB_OBJS = $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GEN_SRCS:%.c=$(BUILD)/%.o)
+MAIN_OBJS = $(MAIN_SRC:%.c=$(BUILD)/%.o) $(BUILTIN_SRCS:%.c=$(BUILD)/%.o)
+HELPER_OBJS = $(HELPER_SRCS:%.c=$(BUILD)/%.o)
+TESTS = $(TEST_SRCS:t/%.c=$(BUILD)/t/%)
+
+OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(HELPER_SRCS)
+OUR_FILES = $(OUR_SRCS) $(wildcard *.h builtin/*.h t/*.h t/helper/*.h)
+
+all: jujubestage $(if $(HELPER_SRCS),$(BUILD)/standin)
+
+jujubestage: $(MAIN_OBJS) $(BUILD)/libjujubestage.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/libjujubestage.a: $(LIB_OBJS)
+	$(AR) rcs $@ $^
+
+# Stand-ins for platform, targets, fabric and callers; never linked into the product.
+$(BUILD)/standin: $(HELPER_OBJS) $(BUILD)/libjujubestage.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/t/test-%: $(BUILD)/t/test-%.o $(BUILD)/libjujubestage.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $(GEN_WARNINGS) -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $(WARNINGS) -c -o $@ $<
+
+deps:
+	@scripts/install-deps
+
+# Packages are installed first because the flags above come from pkg-config.
+test: deps
+	@$(MAKE) --no-print-directory all tests
+	@t/run-tests $(TESTS)
+
+tests: $(TESTS)
+
+demo: deps
+	@$(MAKE) --no-print-directory all
+	@scripts/demo
+
+format:
+	clang-format -i $(OUR_FILES)
+
+check-format:
+	clang-format --dry-run -Werror $(OUR_FILES)
+
+LINT = $(OUR_SRCS:%=$(BUILD)/lint/%.ok)
+lint: $(LINT)
+
+$(BUILD)/lint/%.ok: % $(wildcard *.h builtin/*.h t/*.h proto/*.h) .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 -I. -Iproto $(PKG_CFLAGS) -D_GNU_SOURCE 2>$@.err || \
+		{ cat $@.err; exit 1; }
+	@touch $@
+
+# Generated code is committed; "make generate" renews it and check-generated compares.
+generate:
+	scripts/generate proto
+
+check-generated:
+	@rm -rf $(BUILD)/generated && mkdir -p $(BUILD)/generated
+	@scripts/generate $(BUILD)/generated
+	@for f in $(BUILD)/generated/*; do cmp "$$f" "proto/$$(basename "$$f")" || exit 1; done
+
+clean:
+	rm -rf $(BUILD) jujubestage
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all deps test tests demo format check-format lint generate check-generated clean
+.SECONDARY:
--- /dev/null
+++ b/builtin/builtin.h
@@ -0,0 +1,28 @@
+/* Subcommands of the jujubestage binary; one file each in builtin/. */
+#ifndef BUILTIN_H
+#define BUILTIN_H
+
+#define JUJUBESTAGE_VERSION "0.1.0"
+
+/* Exit codes of every subcommand. */
+enum exit_code {
+	EXIT_DONE = 0,
+	EXIT_REFUSED = 1, /* refused or failed */
+	EXIT_USAGE = 2,	  /* wrong usage or invalid input */
+};
+
+struct builtin {
+	const char *name;
+	const char *summary;
+	/* @argv[0] is the subcommand's name. Returns an enum exit_code. */
+	int (*run)(int argc, char **argv);
+};
+
+/* Every subcommand, in the order of "jujubestage help". */
+extern const struct builtin builtins[];
+extern const unsigned int nr_builtins;
+
+int cmd_help(int argc, char **argv);
+int cmd_version(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/builtin/list.c
@@ -0,0 +1,8 @@
+#include "builtin.h"
+
+const struct builtin builtins[] = {
+	{ "help", "list the commands", cmd_help },
+	{ "version", "print the version", cmd_version },
+};
+
+const unsigned int nr_builtins = sizeof(builtins) / sizeof(builtins[0]);
--- /dev/null
+++ b/core.h
@@ -0,0 +1,41 @@
+/*
+ * The decision core of one instance: all state and all decisions, no I/O, no clock, no globals.
+ * The same core runs behind the libwebsockets loop and under replay.
+ */
+#ifndef CORE_H
+#define CORE_H
+
+#include "config.h"
+#include "counters.h"
+#include "event.h"
+#include "home.h"
+#include "member.h"
+#include "random.h"
+#include "target.h"
+
+struct core;
+
+struct core_options {
+	struct members_options members;
+	size_t max_flows; /* size of the flow cache */
+	unsigned char flow_key[FLOW_KEY_BYTES];
+	const uint8_t *fleet_key; /* see config_new() */
+	struct random *random;
+	struct timespec start;
+	const char *policy; /* NULL for the product; a baseline or wrong variant in tests */
+};
+
+struct core *core_new(const struct core_options *opts);
+void core_free(struct core *core);
+
+/* Handles one event; appends the resulting actions to @out in order. */
+void core_handle(struct core *core, const struct event *ev, struct actions *out);
+
+struct counters *core_counters(struct core *core);
+struct config *core_config(struct core *core);
+struct members *core_members(struct core *core);
+struct targets *core_targets(struct core *core);
+struct homes *core_homes(struct core *core);
+struct flowtab *core_flows(struct core *core);
+
+#endif
--- /dev/null
+++ b/proto/peer.x
@@ -0,0 +1,254 @@
+/*
+ * Messages between the instances of one fleet.
+ *
+ * Every message is the argument or the result of an ONC RPC call to PEER_PROG and travels sealed
+ * in one UDP datagram. A service is named by its address, a target by its IP number and port, an
+ * instance by its number from the settings, a flow by its 64-bit keyed hash.
+ */
+
+const PEER_PROG = 542130;
+const PEER_VERS = 1;
+
+const PEER_MAX_NAME = 128;
+const PEER_MAX_PACKET = 2048;
+const PEER_MAX_DOCUMENT = 1048576;
+const PEER_MAX_MEMBERS = 256;
+const PEER_MAX_BUCKETS = 64;
+const PEER_MAX_PINS = 4096;
+const PEER_MAX_NEWS = 512;
+
+struct peer_service {
+	unsigned int ip;
+	unsigned int port_proto; /* port << 16 | protocol */
+};
+
+struct peer_target {
+	unsigned int ip;
+	unsigned int port_flags; /* port << 16 | PIN_* flags */
+};
+
+/* A shard of a service together with the fencing numbers of its home. */
+struct peer_shard {
+	peer_service service;
+	unsigned int shard;
+	unsigned int term;
+	unsigned int epoch;
+};
+
+/* Flags of a pin, also used for cached flows. */
+const PIN_ESTABLISHED = 1;
+const PIN_PAYLOAD = 2;
+const PIN_CLOSED = 4;
+const PIN_BASE = 8;
+
+struct peer_pin {
+	unsigned hyper flow;
+	peer_target target;
+	unsigned int opening_id;
+};
+
+enum peer_bucket_mode {
+	PEER_BUCKET_UNASSIGNED = 0,
+	PEER_BUCKET_SINGLE = 1,
+	PEER_BUCKET_SHARED = 2
+};
+
+struct peer_bucket {
+	unsigned int index_mode; /* index in the shard << 8 | peer_bucket_mode */
+	peer_target base;
+	peer_target current;
+};
+
+enum peer_member_state {
+	PEER_MEMBER_JOINING = 0,
+	PEER_MEMBER_LIVE = 1,
+	PEER_MEMBER_LEAVING = 2,
+	PEER_MEMBER_LEFT = 3
+};
+
+struct peer_member {
+	unsigned int instance;
+	unsigned int incarnation;
+	unsigned int counter_state; /* counter << 4 | peer_member_state */
+};
+
+/* What one instance found out about a target; spread with the heartbeats. */
+struct peer_target_news {
+	peer_target target;
+	unsigned int observer;
+	unsigned int age_ms;
+	unsigned int start_marker;
+	unsigned int load; /* state << 16 | load in 1/1000 of the limit */
+};
+
+/* An instance that a heartbeat's sender suspects. */
+struct peer_suspicion {
+	unsigned int instance;
+	unsigned int incarnation;
+};
+
+struct peer_heartbeat {
+	unsigned int instance;
+	unsigned int incarnation;
+	unsigned hyper config_digest;
+	peer_member members<PEER_MAX_MEMBERS>;
+	peer_suspicion suspicions<PEER_MAX_MEMBERS>;
+	peer_target_news news<PEER_MAX_NEWS>;
+};
+
+/* Home to member: buckets that change. The reply is a peer_shard_ack. */
+struct peer_shard_announce {
+	peer_shard shard;
+	peer_bucket buckets<PEER_MAX_BUCKETS>;
+};
+
+struct peer_shard_ack {
+	peer_shard shard; /* the member's newest numbers; higher ones fence the caller */
+	peer_pin recent<PEER_MAX_PINS>;
+};
+
+/* New home to member: what do you know of this shard? The reply is a peer_shard_state. */
+struct peer_shard_pull {
+	peer_shard shard;
+};
+
+/* The state of a shard: the answer to a pull, and the body of a hand-over or a backup copy. */
+struct peer_shard_state {
+	peer_shard shard;
+	unsigned int part; /* number of this part, from 0 */
+	unsigned int parts;
+	bool complete;
+	peer_bucket buckets<PEER_MAX_BUCKETS>;
+	peer_pin pins<PEER_MAX_PINS>;
+};
+
+/* A packet passed on to the home, or a question on a flow when bytes is empty. */
+struct peer_pass {
+	peer_shard shard;
+	unsigned hyper flow;
+	unsigned int opening_id;
+	opaque bytes<PEER_MAX_PACKET>;
+};
+
+enum peer_verdict {
+	PEER_VERDICT_FORWARDED = 0, /* the home sent the packet itself */
+	PEER_VERDICT_FORWARD = 1,   /* the receiver now sends it to the pin's target */
+	PEER_VERDICT_REFUSE = 2,
+	PEER_VERDICT_DROP = 3,
+	PEER_VERDICT_NOT_HOME = 4,
+	PEER_VERDICT_UNKNOWN = 5
+};
+
+struct peer_pass_result {
+	peer_shard shard;
+	peer_verdict verdict;
+	peer_pin pin;
+};
+
+/* Pins for the receiver to keep: copies for the backup, or refreshes of flows still in use. */
+struct peer_pin_batch {
+	peer_shard shard;
+	bool refresh;
+	peer_pin pins<PEER_MAX_PINS>;
+};
+
+/* An answer of a target that the home must judge: an accepted or a refused opening. */
+struct peer_answer_note {
+	peer_shard shard;
+	unsigned int accepted;
+	peer_pin pin;
+};
+
+struct peer_flow_query {
+	peer_service service;
+	unsigned hyper flow;
+};
+
+struct peer_flow_answer {
+	bool known;
+	peer_pin pin;
+	unsigned int answered_age_ms; /* age of the last answer seen; 0xffffffff for none */
+};
+
+enum peer_object_kind {
+	PEER_OBJECT_ORGANISATION = 0,
+	PEER_OBJECT_DATA_CENTRE = 1,
+	PEER_OBJECT_GRANTS = 2
+};
+
+struct peer_object_version {
+	peer_object_kind kind;
+	string name<PEER_MAX_NAME>;
+	unsigned hyper generation;
+};
+
+struct peer_config_digest {
+	unsigned hyper digest;
+	peer_object_version versions<>;
+};
+
+struct peer_config_pull {
+	peer_object_kind kind;
+	string name<PEER_MAX_NAME>;
+	unsigned hyper generation;
+	unsigned int offset; /* first byte wanted; large documents travel in parts */
+};
+
+struct peer_config_object {
+	peer_object_version id;
+	opaque signature<64>;
+	unsigned int total; /* length of the whole document */
+	unsigned int offset;
+	opaque document<PEER_MAX_PACKET>;
+};
+
+enum peer_type {
+	PEER_NULL = 0,
+	PEER_HEARTBEAT = 1,
+	PEER_SHARD_ANNOUNCE = 2,
+	PEER_SHARD_ACK = 3,
+	PEER_SHARD_PULL = 4,
+	PEER_SHARD_STATE = 5,
+	PEER_PASS = 6,
+	PEER_PASS_RESULT = 7,
+	PEER_PIN_BATCH = 8,
+	PEER_ANSWER_NOTE = 9,
+	PEER_FLOW_QUERY = 10,
+	PEER_FLOW_ANSWER = 11,
+	PEER_CONFIG_DIGEST = 12,
+	PEER_CONFIG_PULL = 13,
+	PEER_CONFIG_OBJECT = 14
+};
+
+union peer_msg switch (peer_type type) {
+case PEER_NULL:
+	void;
+case PEER_HEARTBEAT:
+	peer_heartbeat heartbeat;
+case PEER_SHARD_ANNOUNCE:
+	peer_shard_announce announce;
+case PEER_SHARD_ACK:
+	peer_shard_ack ack;
+case PEER_SHARD_PULL:
+	peer_shard_pull pull;
+case PEER_SHARD_STATE:
+	peer_shard_state state;
+case PEER_PASS:
+	peer_pass pass;
+case PEER_PASS_RESULT:
+	peer_pass_result pass_result;
+case PEER_PIN_BATCH:
+	peer_pin_batch pins;
+case PEER_ANSWER_NOTE:
+	peer_answer_note note;
+case PEER_FLOW_QUERY:
+	peer_flow_query query;
+case PEER_FLOW_ANSWER:
+	peer_flow_answer flow;
+case PEER_CONFIG_DIGEST:
+	peer_config_digest digest;
+case PEER_CONFIG_PULL:
+	peer_config_pull config_pull;
+case PEER_CONFIG_OBJECT:
+	peer_config_object object;
+};
--- /dev/null
+++ b/target.h
@@ -0,0 +1,75 @@
+/*
+ * What this instance knows of targets: health, load, slow start, limits and retry budgets. Probes
+ * are divided over the group; results of others arrive as news with heartbeats.
+ */
+#ifndef TARGET_H
+#define TARGET_H
+
+#include "config.h"
+#include "ctx.h"
+#include "member.h"
+
+#define LOAD_REPORT_MAX_AGE_MS	 5000
+#define PROBE_INTERVAL_MS	 1000
+#define PROBE_FAILURES_DOWN	 3
+#define OPENINGS_UNANSWERED_DOWN 5
+#define PROBERS_PER_TARGET	 2
+#define SLOW_START_MIN_PERMILLE	 100
+
+struct targets;
+
+struct targets *targets_new(const struct config *cfg, struct members *mem);
+void targets_free(struct targets *tgs);
+
+/* After config_apply(): follows added, changed and removed targets. */
+void targets_config_changed(struct targets *tgs, struct ctx *ctx);
+void targets_health(struct targets *tgs, struct ctx *ctx, const struct health_report *rep);
+void targets_news(struct targets *tgs, struct ctx *ctx, uint32_t src, const peer_target_news *news,
+		  size_t nr);
+/* Emits probes that are due for targets that this instance polls. */
+void targets_timer(struct targets *tgs, struct ctx *ctx);
+struct news_source *targets_news_source(struct targets *tgs);
+
+/* Changes whenever the eligible set or a weight changes; homes reassign their buckets then. */
+uint64_t targets_version(const struct targets *tgs);
+
+/* Healthy, not draining, not withdrawn: may be the current target of a bucket. */
+bool target_eligible(const struct targets *tgs, uint32_t target);
+/* Weight for the assignment: the limit of the target in flows; 0 when not eligible. */
+uint32_t target_weight(const struct targets *tgs, uint32_t target);
+/* Reachable and not withdrawn: packets of established flows may still go there. */
+bool target_usable(const struct targets *tgs, uint32_t target);
+
+/*
+ * Picks the target of a new flow: the bucket's @current or its @alternate (TARGET_NONE for none).
+ * Compares load (own flows in flight plus reports younger than LOAD_REPORT_MAX_AGE_MS) and honours
+ * limits, shedding and slow-start tokens. Returns TARGET_NONE when neither bears one more flow.
+ * A returned target has been charged with the flow.
+ */
+uint32_t target_choose(struct targets *tgs, struct ctx *ctx, uint32_t current, uint32_t alternate);
+
+/* Takes one retry from the service's budget; false when it is spent. */
+bool target_take_retry(struct targets *tgs, struct ctx *ctx, const struct service *svc);
+
+/* Evidence from traffic that this instance handled. */
+void target_opened(struct targets *tgs, struct ctx *ctx, uint32_t target);
+void target_accepted(struct targets *tgs, struct ctx *ctx, uint32_t target);
+void target_shed(struct targets *tgs, struct ctx *ctx, uint32_t target);
+void target_closed(struct targets *tgs, struct ctx *ctx, uint32_t target);
+void target_answered(struct targets *tgs, struct ctx *ctx, uint32_t target);
+/* Time of the last answer that this instance saw from the target; zero for never. */
+struct timespec target_last_answer(const struct targets *tgs, uint32_t target);
+
+/* For status and metrics. */
+struct target_status {
+	bool eligible;
+	bool starting;
+	uint32_t share_permille; /* slow start, 1000 when warm */
+	uint32_t load_permille;	 /* latest report */
+	uint32_t report_age_ms;
+	uint32_t flows; /* opened here and not closed */
+};
+void target_get_status(const struct targets *tgs, uint32_t target, struct timespec now,
+		       struct target_status *st);
+
+#endif
