settings: describe the settings of an instance

Cause: the loop and the settings reader are written at the same time.

Ruled out: one socket for packets of callers and of targets; the inner header would then have to tell them apart, and a forged one could.

Conclusion: both can be written against this header.

--- /dev/null
+++ b/settings.h
@@ -0,0 +1,69 @@
+/*
+ * Settings of one instance: a JSON file with comments, checked against proto/settings.schema. All
+ * faults of a file are reported at once, each with file, line and key.
+ */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "event.h"
+
+#define PEER_KEY_BYTES	  32
+#define SETTINGS_MAX_KEYS 2
+
+struct peer_key {
+	uint8_t id;
+	uint8_t key[PEER_KEY_BYTES];
+};
+
+struct settings {
+	uint32_t id; /* number of the instance in the fleet, at least 1 */
+	GString *name;
+	GString *group; /* entry group: the instances among which the fabric sprays */
+	GString *data_centre;
+	struct endpoint packets;  /* UDP: GUE packets of callers */
+	struct endpoint answers;  /* UDP: GUE packets of targets */
+	struct endpoint peers;	  /* UDP: sealed peer messages */
+	struct endpoint admin;	  /* TCP: metrics, health and status over HTTP */
+	struct endpoint egress;	  /* where the fabric takes packets to callers, GUE over UDP */
+	struct endpoint platform; /* TCP: the platform's object API over HTTP */
+	uint8_t flow_key[FLOW_KEY_BYTES];
+	struct peer_key peer_keys[SETTINGS_MAX_KEYS]; /* the first one seals, all of them open */
+	size_t nr_peer_keys;
+	uint8_t fleet_key[32]; /* the fleet operator's public key */
+	GArray *seeds;	       /* struct instance_info: first contacts */
+	uint32_t max_flows;    /* size of the flow cache */
+	GString *log_level;    /* error, warn, info or debug */
+};
+
+/* One fault of a settings file or document. */
+struct fault {
+	GString *file;
+	unsigned int line;
+	GString *key; /* dotted path */
+	GString *text;
+};
+
+struct faults {
+	GPtrArray *list; /* struct fault */
+};
+
+void faults_init(struct faults *faults);
+void faults_release(struct faults *faults);
+void faults_add(struct faults *faults, const char *file, unsigned int line, const char *key,
+		const char *format, ...) G_GNUC_PRINTF(5, 6);
+/* Writes one "file:line: key: text" line for each fault to @out. */
+void faults_print(const struct faults *faults, FILE *out);
+
+void settings_init(struct settings *set);
+void settings_release(struct settings *set);
+
+/*
+ * Reads @path into @set. Returns 0, or -EINVAL with at least one entry in @faults; a file that
+ * cannot be read is a fault too.
+ */
+int settings_read(struct settings *set, const char *path, struct faults *faults);
+
+#endif
