--- /dev/null
+++ b/config-parse.h
@@ -0,0 +1,47 @@
+/* Reads signed documents into the structures of config.h. Documents come from other organisations:
+ * every field is checked. */
+#ifndef CONFIG_PARSE_H
+#define CONFIG_PARSE_H
+
+#include "config.h"
+
+/* Address range, host byte order. */
+struct range {
+	uint32_t ip;
+	uint32_t mask;
+};
+
+/* What one organisation may use. */
+struct grant {
+	char *name;
+	uint8_t key[SIGNING_KEY_BYTES];
+	uint32_t max_flows;
+	GArray *addresses; /* struct range: of services */
+	GArray *targets;   /* struct range: of targets */
+};
+
+void grant_free(struct grant *grant);
+bool ranges_contain(const GArray *ranges, uint32_t ip);
+
+/* Service with its targets; @dc_index interns a data centre's name. */
+void service_free(struct service *svc);
+
+struct org_document {
+	uint32_t max_flows;
+	GPtrArray *services; /* struct service, owned */
+	GArray *withdrawn;   /* uint16_t */
+};
+
+/*
+ * All parsers return 0, or -EBADMSG when the document is not well-formed, a field has a wrong type
+ * or is out of range, or the document's name or generation differ from those of @obj.
+ */
+int parse_grants(const struct object *obj, GPtrArray **grants);
+int parse_organisation(struct config *cfg, const struct object *obj, struct org_document *doc);
+int parse_data_centre(const struct object *obj, bool *withdrawn);
+void org_document_release(struct org_document *doc);
+
+/* Parses "IP:PORT" with a port of at least 1. Returns 0 or -EINVAL. */
+int parse_endpoint(const char *text, struct endpoint *ep);
+
+#endif
