replay: run traces through the cores of a small fleet

A trace is text with a fleet, its services and targets, and timed lines. The replay runs one core for each instance in one process, with a clock that is passed in and in-memory adapters: a network with delay, loss, duplication and cuts, a platform with outages and a lagging list, targets with cold starts, silence and wrong reports, and callers that retransmit. Two baselines and wrong variants of single decisions run on the same traces.

The daemon's peer transport was ruled out for the network, since sealing costs time and adds nothing to the decisions.

--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -23,6 +23,7 @@
 extern const unsigned int nr_builtins;
 
 int cmd_help(int argc, char **argv);
+int cmd_replay(int argc, char **argv);
 int cmd_version(int argc, char **argv);
 
 #endif
--- a/builtin/list.c
+++ b/builtin/list.c
@@ -2,6 +2,7 @@
 
 const struct builtin builtins[] = {
 	{ "help", "list the commands", cmd_help },
+	{ "replay", "run a recorded trace through the decision core", cmd_replay },
 	{ "version", "print the version", cmd_version },
 };
 
--- /dev/null
+++ b/replay-internal.h
@@ -0,0 +1,316 @@
+/* State of one replay, shared by replay*.c. */
+#ifndef REPLAY_INTERNAL_H
+#define REPLAY_INTERNAL_H
+
+#include "core.h"
+#include "flowtab.h"
+#include "replay.h"
+
+#define SIM_MAX_DCS	  32
+#define SIM_PACKET_BYTES  52 /* IPv4, TCP and a payload of 12 bytes */
+#define SIM_PAYLOAD_BYTES 12
+#define SIM_US_PER_MS	  1000
+
+struct sim;
+
+/* Decisions that a policy takes from the product; see replay_policies. */
+enum sim_variant {
+	VARIANT_PRODUCT,
+	VARIANT_HASH,
+	VARIANT_PRIVATE,
+	VARIANT_NO_ACK_WAIT,
+	VARIANT_NO_RECOVERY,
+	VARIANT_NO_SLOW_START,
+	VARIANT_LOCAL_WITHDRAWAL,
+	VARIANT_NO_DRAIN,
+	VARIANT_KILL_ON_LEAVE,
+	VARIANT_UNCHECKED_ANSWERS,
+	VARIANT_REFUSE_UNSURE,
+	VARIANT_RESEND_PAYLOAD,
+};
+
+/* An inner packet with its fields; the bytes are what the core carries. */
+struct sim_packet {
+	uint32_t slot;	 /* names caller address and port */
+	uint32_t serial; /* number of the flow; slots are used again */
+	uint32_t seq;	 /* opening id; +1 inside the flow */
+	uint8_t flags;	 /* TCP */
+	uint32_t request;
+	uint32_t target; /* sender of an answer, 0xffffffff for a caller's packet */
+	struct service_addr service;
+	uint8_t bytes[SIM_PACKET_BYTES];
+	size_t len;
+};
+
+enum sim_kind {
+	SIM_TRACE,     /* a: line */
+	SIM_OPEN,      /* a: generator */
+	SIM_FLOW,      /* a: slot, b: serial: retransmission, next request, end */
+	SIM_TIMER,     /* a: instance, b: incarnation */
+	SIM_TO_CORE,   /* a: instance, b: target or 0xffffffff; bytes: packet or answer */
+	SIM_TO_TARGET, /* a: target, b: instance; bytes */
+	SIM_TO_CALLER, /* a: target that sent it or 0xffffffff; bytes */
+	SIM_WORK_DONE, /* a: target, b: slot, c: serial << 32 | request */
+	SIM_PEER,      /* a: instance, b: source, c: xid; bytes: message */
+	SIM_REPLY,     /* c: xid; bytes */
+	SIM_CALL,      /* c: xid: next try or timeout */
+	SIM_PROBE,     /* a: instance, b: target, c: 0 on the way there, 1 with the report */
+	SIM_OBJECT,    /* a: instance, b: index of a version */
+	SIM_LIST,      /* a: instance */
+	SIM_SAMPLE,
+	SIM_LISTED, /* a: instance: its change shows in the platform's list */
+	SIM_FABRIC, /* a: instance: the fabric checks its health */
+	SIM_ROLL,   /* a: instance, b: 0 to leave, 1 to start */
+};
+
+struct sim_event {
+	int64_t at_us;
+	uint64_t order; /* breaks ties, so that the run is repeatable */
+	enum sim_kind kind;
+	uint32_t a;
+	uint32_t b;
+	uint64_t c;
+	GBytes *bytes;
+	struct health_report *report;
+};
+
+enum sim_instance_state {
+	INSTANCE_STATE_DOWN,
+	INSTANCE_STATE_RUNNING,
+	INSTANCE_STATE_PAUSED,
+};
+
+struct sim_instance {
+	uint32_t id; /* index + 1 */
+	char *name;
+	char *group;
+	uint32_t group_index;
+	uint32_t dc;
+	enum sim_instance_state state;
+	bool in_fabric; /* gets packets */
+	bool leaving;
+	bool watching;
+	bool ever_listed;
+	enum instance_phase listed; /* what the platform's list says */
+	uint32_t incarnation;
+	struct core *core; /* NULL for a baseline */
+	struct baseline *baseline;
+	struct seeded_random random;
+	struct actions acts;
+	GQueue inbox;  /* events that wait for a paused process */
+	int64_t up_us; /* when it was started */
+	/* totals over all incarnations */
+	struct counters counters;
+	uint64_t control_bytes, pass_bytes;
+	int64_t alive_us;
+	size_t most_flows, most_pins;
+};
+
+/* A flow as its target knows it. */
+struct target_flow {
+	uint32_t seq;
+	uint32_t serial;
+	uint32_t asked; /* highest request taken */
+	uint32_t done;	/* highest request answered */
+	bool silent;
+	int64_t closed_us;
+};
+
+struct sim_report {
+	int64_t at_us;
+	struct health_report report;
+};
+
+struct sim_target {
+	char *name;
+	uint32_t service;
+	uint32_t dc;
+	struct endpoint ep;
+	uint32_t slots, max_flows, warmup_ms, bears;
+	bool fragile;
+	/* configuration */
+	bool configured, draining;
+	/* condition */
+	bool dead, shed;
+	uint32_t marker;
+	bool hide_marker;
+	int64_t started_us; /* begin of its cold phase, negative when long ago */
+	GHashTable *flows;  /* slot to struct target_flow */
+	int64_t slot_free_us[8];
+	int64_t lie_load, lie_ready, lag_ms;
+	GArray *reports; /* struct sim_report, for lag_ms */
+	/* measures */
+	int64_t drained_us, withdrawn_us; /* negative when not */
+	GArray *openings_us;		  /* openings in its cold phase */
+	uint64_t flow_samples, opened;
+	uint32_t probes;
+	bool disturbed; /* not warm and eligible during the whole measured time */
+};
+
+struct sim_service {
+	char *name, *org, *address;
+	struct service_addr addr;
+	const struct trace_line *line;
+};
+
+struct sim_org {
+	char *name;
+	uint64_t generation;
+};
+
+struct sim_dc {
+	char *name;
+	bool withdrawn;
+	uint64_t generation;
+	bool cut_peers, cut_targets, cut_platform;
+};
+
+/* One version of a configuration object that the platform accepted. */
+struct sim_version {
+	peer_object_kind kind;
+	char *name;
+	uint64_t generation;
+	char *document;
+	int64_t at_us;
+	int64_t everywhere_us; /* -1 until every running instance has it */
+};
+
+struct sim_call {
+	uint32_t src, src_incarnation, dst;
+	uint64_t call_id;
+	uint32_t timeout_ms, tries;
+	GBytes *request;
+	GBytes *reply; /* what the callee answered, repeated to later tries */
+	bool delivered, done;
+};
+
+enum flow_state {
+	FLOW_FREE,
+	FLOW_OPENING,
+	FLOW_OPEN,
+	FLOW_CLOSING,
+};
+
+struct sim_flow {
+	enum flow_state state;
+	uint32_t serial;
+	uint32_t seq;
+	uint32_t service;
+	uint32_t generator;
+	uint32_t target; /* who accepted it */
+	uint32_t request;
+	bool waiting; /* for the answer to request */
+	bool exempt;  /* its target or data centre is gone */
+	uint32_t ran_at, ran_request;
+	int64_t asked_us, end_us, due_us, free_us;
+	uint32_t tries;
+	uint32_t every_ms, work_ms;
+};
+
+struct sim_generator {
+	const struct trace_line *line;
+	uint32_t service;
+	int64_t until_us;
+};
+
+struct sim_measures {
+	uint64_t opened, established, refused, unanswered, closed, broken, exempt;
+	uint64_t requests, answered, requests_after, answered_after;
+	uint64_t run_twice, false_refusals, crossed, wrong_service, falls, config_reverts;
+	uint64_t peak_start_share;
+	int64_t withdrawn_last_us, drained_last_us, config_max_us, first_fault_us;
+	uint64_t platform_calls;
+	GArray *answer_ms;
+};
+
+struct sim {
+	int64_t now_us;
+	uint64_t order;
+	GArray *heap; /* struct sim_event */
+	struct seeded_random random;
+	enum sim_variant variant;
+	const struct trace *trace;
+	int64_t end_us, measure_from_us, measure_to_us;
+	unsigned char flow_key[FLOW_KEY_BYTES];
+	/* network, in microseconds and per mille */
+	int64_t local_us, dc_us, caller_us, platform_us, jitter_permille, loss, dup, detect_ms,
+		list_lag_ms;
+	bool platform_down;
+	GPtrArray *instances, *targets, *services, *orgs; /* struct sim_... */
+	struct sim_dc dcs[SIM_MAX_DCS];
+	uint32_t nr_dcs;
+	GPtrArray *groups; /* names */
+	GPtrArray *versions;
+	GHashTable *calls; /* xid to struct sim_call */
+	uint32_t next_xid;
+	GArray *flows; /* struct sim_flow */
+	GArray *generators;
+	uint32_t next_slot, next_serial;
+	struct sim_measures m;
+};
+
+/* replay.c */
+uint32_t sim_below(struct sim *sim, uint32_t bound);
+struct sim_event *sim_schedule(struct sim *sim, int64_t after_us, enum sim_kind kind, uint32_t a,
+			       uint32_t b);
+struct timespec sim_now(const struct sim *sim);
+static inline struct sim_instance *sim_instance(const struct sim *sim, uint32_t i)
+{
+	return g_ptr_array_index(sim->instances, i);
+}
+static inline struct sim_target *sim_target(const struct sim *sim, uint32_t i)
+{
+	return g_ptr_array_index(sim->targets, i);
+}
+static inline struct sim_service *sim_service(const struct sim *sim, uint32_t i)
+{
+	return g_ptr_array_index(sim->services, i);
+}
+
+/* replay-fleet.c: instances, the network between them, the platform */
+int64_t sim_delay(struct sim *sim, uint32_t dc_a, uint32_t dc_b);
+void sim_instance_start(struct sim *sim, uint32_t i);
+void sim_instance_kill(struct sim *sim, uint32_t i);
+void sim_instance_leave(struct sim *sim, uint32_t i);
+void sim_instance_pause(struct sim *sim, uint32_t i, bool paused);
+/* Hands an event of the queue to its instance. */
+void sim_instance_event(struct sim *sim, const struct sim_event *ev);
+void sim_fleet_event(struct sim *sim, const struct sim_event *ev);
+/* Accepts a new version of an object, unless the platform is down. */
+void sim_publish_org(struct sim *sim, const char *name);
+void sim_publish_dc(struct sim *sim, uint32_t dc);
+void sim_publish_grants(struct sim *sim);
+void sim_platform_set(struct sim *sim, bool down);
+void sim_check_versions(struct sim *sim);
+void sim_instance_release(struct sim_instance *inst);
+
+/* replay-traffic.c: callers and targets */
+bool sim_packet_decode(struct sim_packet *pkt, const uint8_t *bytes, size_t len);
+void sim_packet_encode(struct sim_packet *pkt);
+uint32_t sim_target_find(const struct sim *sim, struct endpoint ep);
+void sim_open(struct sim *sim, uint32_t generator);
+void sim_flow_event(struct sim *sim, uint32_t slot, uint32_t serial);
+void sim_at_caller(struct sim *sim, const struct sim_event *ev);
+void sim_at_target(struct sim *sim, const struct sim_event *ev);
+void sim_work_done(struct sim *sim, const struct sim_event *ev);
+/* The instance sent a reset to the caller of @bytes. */
+void sim_refuse(struct sim *sim, const uint8_t *bytes, size_t len);
+struct health_report sim_target_report(struct sim *sim, uint32_t t);
+void sim_target_restart(struct sim *sim, uint32_t t, bool hide_marker);
+/* Flows at the target need not survive what happens to it. */
+void sim_target_exempt(struct sim *sim, uint32_t t);
+/* The flows that it has now get no more answers. */
+void sim_target_silence(struct sim *sim, uint32_t t);
+/* Open flows. */
+uint32_t sim_target_flows(struct sim *sim, uint32_t t);
+void sim_cross(struct sim *sim, uint32_t service, uint32_t count);
+
+/* replay-baseline.c: hash and private */
+struct baseline *baseline_new(bool private_tables, const unsigned char flow_key[FLOW_KEY_BYTES]);
+void baseline_free(struct baseline *base);
+void baseline_handle(struct baseline *base, const struct event *ev, struct actions *out);
+struct config *baseline_config(struct baseline *base);
+struct counters *baseline_counters(struct baseline *base);
+size_t baseline_flows(const struct baseline *base);
+
+#endif
