--- a/t/helper/standin.c
+++ b/t/helper/standin.c
@@ -8,9 +8,8 @@
 	const char *name;
 	int (*run)(int argc, char **argv);
 } commands[] = {
-	{ "caller", standin_caller },
-	{ "fabric", standin_fabric },
-	{ "target", standin_target },
+	{ "caller", standin_caller },	{ "fabric", standin_fabric }, { "key", standin_key },
+	{ "publish", standin_publish }, { "target", standin_target },
 };
 
 int main(int argc, char **argv)
--- a/t/helper/standin.h
+++ b/t/helper/standin.h
@@ -14,6 +14,8 @@
 int standin_target(int argc, char **argv);
 int standin_fabric(int argc, char **argv);
 int standin_caller(int argc, char **argv);
+int standin_key(int argc, char **argv);
+int standin_publish(int argc, char **argv);
 
 /* Value of "--name VALUE", the @nth time it is given (from 0), or @def. */
 const char *opt_nth(int argc, char **argv, const char *name, unsigned int nth, const char *def);
