core: wait one routing lease before becoming a home

Cause: instances that start together each see only themselves at first, and each would assign the shards of every service by itself.

Change: an instance stays joining until one routing lease (2 s) has passed since its start and its configuration is in force.

Ruled out: waiting for a number of peers; a lone instance, or one cut off from its seeds, must serve too.

Conclusion: kept as a rule of the core, not of the loop.

--- a/core.c
+++ b/core.c
@@ -21,6 +21,7 @@
 	struct confsync *sync;
 	struct random *random;
 	unsigned char flow_key[FLOW_KEY_BYTES];
+	struct timespec start;
 	bool stopping;
 	bool stopped;
 };
@@ -31,6 +32,7 @@
 
 	memcpy(core->flow_key, opts->flow_key, sizeof(core->flow_key));
 	core->random = opts->random;
+	core->start = opts->start;
 	core->cfg = config_new(opts->fleet_key);
 	core->mem = members_new(&opts->members);
 	core->tgs = targets_new(core->cfg, core->mem);
@@ -75,9 +77,20 @@
 	members_set_digest(core->mem, config_digest(core->cfg));
 	targets_config_changed(core->tgs, ctx);
 	homes_config_changed(core->homes, ctx);
-	if (config_ready(core->cfg) &&
-	    members_state(core->mem, members_self(core->mem)) == MEMBER_JOINING)
-		members_set_self(core->mem, MEMBER_LIVE);
+}
+
+/*
+ * An instance that starts waits for one routing lease before it becomes a candidate for homes.
+ * Instances that start together would otherwise each take themselves for the only member and
+ * assign the same shards differently.
+ */
+static void join_when_ready(struct core *core, const struct ctx *ctx)
+{
+	if (core->stopping || !config_ready(core->cfg) ||
+	    ts_diff_ms(ctx->now, core->start) < ROUTING_LEASE_MS ||
+	    members_state(core->mem, members_self(core->mem)) != MEMBER_JOINING)
+		return;
+	members_set_self(core->mem, MEMBER_LIVE);
 }
 
 static void handle_packet(struct core *core, struct ctx *ctx, const struct packet *pkt)
@@ -176,6 +189,7 @@
 static void handle_timer(struct core *core, struct ctx *ctx)
 {
 	members_timer(core->mem, ctx);
+	join_when_ready(core, ctx);
 	if (members_slept(core->mem)) {
 		ctx->counters->step_downs++;
 		homes_step_down(core->homes, ctx);
