settings: read and check the settings of an instance

Cause: "run" needs its settings, and a faulty file must show all its faults at once with file, line and key.

Change: proto/settings.schema describes each key; scripts/generate makes the C tables and docs/settings.md from it, and check-generated compares them. A general checker (schema.c) applies a table to a JSON text; jsontext.c adds what json-c does not keep, the line of each key and duplicate keys. Faults move from settings.h to fault.h, since documents report them too.

Ruled out: json-c's own duplicate handling (the last one wins silently); escapes in key names, which could spell one key twice.

--- a/Makefile
+++ b/Makefile
@@ -81,12 +81,14 @@
 
 # Generated code is committed; "make generate" renews it and check-generated compares.
 generate:
-	scripts/generate proto
+	scripts/generate proto docs
 
 check-generated:
 	@rm -rf $(BUILD)/generated && mkdir -p $(BUILD)/generated
 	@scripts/generate $(BUILD)/generated
-	@for f in $(BUILD)/generated/*; do cmp "$$f" "proto/$$(basename "$$f")" || exit 1; done
+	@for f in $(BUILD)/generated/*; do \
+		case $$f in *.md) dir=docs ;; *) dir=proto ;; esac; \
+		cmp "$$f" "$$dir/$$(basename "$$f")" || exit 1; done
 
 clean:
 	rm -rf $(BUILD) jujubestage
--- /dev/null
+++ b/jsontext.h
@@ -0,0 +1,37 @@
+/*
+ * JSON files with comments: json-c parses them, and a small scanner adds what json-c does not keep,
+ * the line of each key and keys that appear twice.
+ */
+#ifndef JSONTEXT_H
+#define JSONTEXT_H
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdbool.h>
+
+#include "fault.h"
+
+#define JSON_MAX_DEPTH 16
+#define JSON_MAX_BYTES 1048576 /* the platform's limit for a value */
+
+struct json_text {
+	GString *file;
+	GString *bytes;
+	json_object *root;
+	GHashTable *lines; /* dotted path, such as "seeds[0].id", to its line */
+};
+
+void json_text_init(struct json_text *text, const char *file);
+void json_text_release(struct json_text *text);
+
+/*
+ * Reads the file, or parses @bytes. Return 0, or -EINVAL with entries in @faults; keys that appear
+ * twice are faults.
+ */
+int json_text_read(struct json_text *text, struct faults *faults);
+int json_text_parse(struct json_text *text, const char *bytes, size_t len, struct faults *faults);
+
+/* Line of a dotted path, or of the nearest object or array around it. */
+unsigned int json_text_line(const struct json_text *text, const char *path);
+
+#endif
--- a/settings.h
+++ b/settings.h
@@ -6,9 +6,9 @@
 #define SETTINGS_H
 
 #include <glib.h>
-#include <stdio.h>
 
 #include "event.h"
+#include "fault.h"
 
 #define PEER_KEY_BYTES	  32
 #define SETTINGS_MAX_KEYS 2
@@ -38,25 +38,6 @@
 	GString *log_level;    /* error, warn, info or debug */
 };
 
-/* One fault of a settings file or document. */
-struct fault {
-	GString *file;
-	unsigned int line;
-	GString *key; /* dotted path */
-	GString *text;
-};
-
-struct faults {
-	GPtrArray *list; /* struct fault */
-};
-
-void faults_init(struct faults *faults);
-void faults_release(struct faults *faults);
-void faults_add(struct faults *faults, const char *file, unsigned int line, const char *key,
-		const char *format, ...) G_GNUC_PRINTF(5, 6);
-/* Writes one "file:line: key: text" line for each fault to @out. */
-void faults_print(const struct faults *faults, FILE *out);
-
 void settings_init(struct settings *set);
 void settings_release(struct settings *set);
 
