platform: add the client of the object API, its feed and a stand-in

Cause: configuration and the list of instances come from the platform, whose answers get lost and which has long outages.

Ruled out: declaring an instance gone after missed renewals, since it may be cut off from the platform and still serve flows; a watch on the instance list in every instance, which would be 1,400 waiting calls.

Conclusion: the loop can use feed_new() with its own context.

--- /dev/null
+++ b/feed.c
@@ -0,0 +1,447 @@
+#include "feed.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "address.h"
+
+#define REQUEST_ID_BYTES 8
+#define DIRECT_RETRIES	 3 /* writes after a conflict before the next one waits */
+
+static const peer_object_kind kinds[] = { PEER_OBJECT_GRANTS, PEER_OBJECT_ORGANISATION,
+					  PEER_OBJECT_DATA_CENTRE };
+
+/* The objects of one kind: list, then watch. */
+struct follower {
+	struct feed *feed;
+	peer_object_kind kind;
+	struct platform_call *call;
+	struct platform_watch *watch;
+	lws_sorted_usec_list_t retry;
+	uint32_t retry_ms;
+};
+
+struct entry {
+	struct instance_info info;
+	bool listed; /* in the list that is being read */
+	struct timespec gone_since;
+};
+
+struct feed {
+	struct feed_options opts;
+	struct follower followers[G_N_ELEMENTS(kinds)];
+	bool watching;
+
+	/* Own entry. */
+	struct platform_call *reg_call;
+	lws_sorted_usec_list_t reg_timer;
+	GString *reg_version;
+	char request_id[2 * REQUEST_ID_BYTES + 1];
+	enum instance_phase writing;
+	enum instance_phase written;
+	bool registered;
+	unsigned int conflicts;
+	uint32_t reg_retry_ms;
+
+	/* List of instances. */
+	GHashTable *entries; /* name to struct entry */
+	struct platform_call *list_call;
+	lws_sorted_usec_list_t list_timer;
+	struct timespec next_all;
+	bool all;
+	bool listed_once;
+
+	bool reach_known;
+	bool reachable;
+};
+
+static void emit(struct feed *feed, struct event *ev)
+{
+	ev->now = clock_now(feed->opts.clock);
+	feed->opts.event(feed->opts.arg, ev);
+}
+
+static void note(struct feed *feed, bool reachable)
+{
+	struct event ev = { .type = EVENT_PLATFORM, .platform.reachable = reachable };
+
+	if (feed->reach_known && feed->reachable == reachable)
+		return;
+	feed->reach_known = true;
+	feed->reachable = reachable;
+	emit(feed, &ev);
+}
+
+static void note_status(struct feed *feed, enum call_status status)
+{
+	note(feed, status != CALL_FAILED && status != CALL_TIMEOUT);
+}
+
+/* Schedules within 10% around @ms, so that instances started together drift apart. */
+static void schedule(struct feed *feed, lws_sorted_usec_list_t *timer, sul_cb_t fn, uint32_t ms)
+{
+	uint32_t jitter = ms / 5;
+	uint32_t at = ms - jitter / 2 + random_below(feed->opts.random, jitter + 1);
+
+	lws_sul_schedule(feed->opts.context, 0, timer, fn, (lws_usec_t)at * LWS_US_PER_MS);
+}
+
+static void unschedule(struct feed *feed, lws_sorted_usec_list_t *timer)
+{
+	lws_sul_schedule(feed->opts.context, 0, timer, NULL, LWS_SET_TIMER_USEC_CANCEL);
+}
+
+static uint32_t backoff(uint32_t *ms)
+{
+	uint32_t now = *ms;
+
+	*ms = MIN(*ms * 2, (uint32_t)FEED_RETRY_MAX_MS);
+	return now;
+}
+
+/* Own entry in the list of instances. */
+
+static void write_entry(struct feed *feed);
+
+static void on_reg_timer(lws_sorted_usec_list_t *sul)
+{
+	write_entry(lws_container_of(sul, struct feed, reg_timer));
+}
+
+static void entry_written(struct feed *feed, const char *version)
+{
+	g_string_assign(feed->reg_version, version);
+	feed->written = feed->writing;
+	feed->registered = true;
+	feed->conflicts = 0;
+	feed->reg_retry_ms = FEED_RETRY_MIN_MS;
+	if (feed->written != feed->opts.self.phase)
+		write_entry(feed);
+	else
+		schedule(feed, &feed->reg_timer, on_reg_timer, RENEW_MS);
+}
+
+/* Our write took effect if the entry has its request id; otherwise it is written again. */
+static void on_entry_read(void *arg, const struct platform_result *res)
+{
+	struct feed *feed = arg;
+	const char *id;
+
+	feed->reg_call = NULL;
+	note_status(feed, res->status);
+	if (res->status == CALL_OK) {
+		id = json_object_get_string(json_object_object_get(res->body, "request_id"));
+		if (!g_strcmp0(id, feed->request_id)) {
+			entry_written(feed, res->version);
+			return;
+		}
+		g_string_assign(feed->reg_version, res->version);
+	} else if (res->status == CALL_NOT_FOUND) {
+		g_string_assign(feed->reg_version, "");
+	}
+	if ((res->status == CALL_OK || res->status == CALL_NOT_FOUND) &&
+	    ++feed->conflicts <= DIRECT_RETRIES)
+		write_entry(feed);
+	else
+		schedule(feed, &feed->reg_timer, on_reg_timer, backoff(&feed->reg_retry_ms));
+}
+
+static void on_entry_written(void *arg, const struct platform_result *res)
+{
+	struct feed *feed = arg;
+	struct platform *pf = feed->opts.platform;
+
+	feed->reg_call = NULL;
+	note_status(feed, res->status);
+	if (res->status == CALL_OK)
+		entry_written(feed, res->version);
+	else if (res->status == CALL_FAILED)
+		schedule(feed, &feed->reg_timer, on_reg_timer, backoff(&feed->reg_retry_ms));
+	else
+		feed->reg_call = pf->ops->get(pf, PLATFORM_KIND_INSTS, feed->opts.self.name,
+					      PLATFORM_CALL_MS, on_entry_read, feed);
+}
+
+static void write_entry(struct feed *feed)
+{
+	struct platform *pf = feed->opts.platform;
+	uint8_t id[REQUEST_ID_BYTES];
+	json_object *obj;
+
+	if (feed->reg_call)
+		return;
+	unschedule(feed, &feed->reg_timer);
+	randombytes_buf(id, sizeof(id));
+	hex_format(id, sizeof(id), feed->request_id);
+	feed->writing = feed->opts.self.phase;
+	obj = instance_to_json(&feed->opts.self, feed->opts.admin);
+	json_object_object_add(obj, "request_id", json_object_new_string(feed->request_id));
+	feed->reg_call =
+		pf->ops->put(pf, PLATFORM_KIND_INSTS, feed->opts.self.name, feed->reg_version->str,
+			     obj, PLATFORM_CALL_MS, on_entry_written, feed);
+	json_object_put(obj);
+}
+
+void feed_set_phase(struct feed *feed, enum instance_phase phase)
+{
+	if (feed->opts.self.phase == phase)
+		return;
+	feed->opts.self.phase = phase;
+	write_entry(feed);
+}
+
+bool feed_phase_written(const struct feed *feed)
+{
+	return feed->registered && feed->written == feed->opts.self.phase;
+}
+
+/* List of instances. */
+
+static void list_instances(struct feed *feed);
+
+static void on_list_timer(lws_sorted_usec_list_t *sul)
+{
+	list_instances(lws_container_of(sul, struct feed, list_timer));
+}
+
+static void take_entry(struct feed *feed, json_object *obj)
+{
+	struct instance_info info;
+	struct endpoint admin;
+	struct entry *entry;
+
+	if (!instance_from_json(obj, &info, &admin))
+		return;
+	entry = g_hash_table_lookup(feed->entries, info.name);
+	if (!entry) {
+		entry = g_new0(struct entry, 1);
+		g_hash_table_insert(feed->entries, g_strdup(info.name), entry);
+	}
+	if (info.phase == INSTANCE_GONE && entry->info.phase != INSTANCE_GONE)
+		entry->gone_since = clock_now(feed->opts.clock);
+	entry->info = info;
+	entry->listed = true;
+}
+
+/*
+ * An entry that the platform no longer lists is gone. A missed renewal alone says nothing: the
+ * instance may be cut off from the platform and still serve.
+ */
+static gboolean settle_entry(gpointer key, gpointer value, gpointer arg)
+{
+	struct feed *feed = arg;
+	struct entry *entry = value;
+	struct timespec now = clock_now(feed->opts.clock);
+	bool covered = feed->all || !strcmp(entry->info.group, feed->opts.self.group);
+
+	(void)key;
+	if (covered && !entry->listed && entry->info.phase != INSTANCE_GONE) {
+		entry->info.phase = INSTANCE_GONE;
+		entry->gone_since = now;
+	}
+	return !entry->listed && entry->info.phase == INSTANCE_GONE &&
+	       ts_diff_ms(now, entry->gone_since) > GONE_KEPT_MS;
+}
+
+static void emit_instances(struct feed *feed)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct instance_info));
+	struct event ev = { .type = EVENT_INSTANCES };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_array_append_val(list, ((struct entry *)value)->info);
+	ev.instances.list = (const struct instance_info *)list->data;
+	ev.instances.nr = list->len;
+	emit(feed, &ev);
+	g_array_unref(list);
+}
+
+static void on_listed(void *arg, const struct platform_result *res)
+{
+	struct feed *feed = arg;
+	json_object *items = res->body ? json_object_object_get(res->body, "items") : NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	feed->list_call = NULL;
+	note_status(feed, res->status);
+	/* A list that is missing or malformed must not look like an empty one. */
+	if (!items || !json_object_is_type(items, json_type_array)) {
+		schedule(feed, &feed->list_timer, on_list_timer,
+			 feed->listed_once ? LIST_GROUP_MS : FEED_RETRY_MIN_MS * 5);
+		return;
+	}
+	g_hash_table_iter_init(&iter, feed->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct entry *)value)->listed = false;
+	for (size_t i = 0; i < json_object_array_length(items); i++)
+		take_entry(feed, json_object_array_get_idx(items, i));
+	g_hash_table_foreach_remove(feed->entries, settle_entry, feed);
+	feed->listed_once = true;
+	if (feed->all)
+		feed->next_all = ts_add_ms(clock_now(feed->opts.clock), LIST_ALL_MS);
+	schedule(feed, &feed->list_timer, on_list_timer, LIST_GROUP_MS);
+	emit_instances(feed);
+}
+
+static void list_instances(struct feed *feed)
+{
+	struct platform *pf = feed->opts.platform;
+	gchar *query = g_strdup_printf("labelSelector=group%%3D%s", feed->opts.self.group);
+
+	feed->all = !feed->listed_once || ts_cmp(clock_now(feed->opts.clock), feed->next_all) >= 0;
+	feed->list_call = pf->ops->list(pf, PLATFORM_KIND_INSTS, feed->all ? NULL : query,
+					PLATFORM_CALL_MS, on_listed, feed);
+	g_free(query);
+}
+
+/* Configuration objects. */
+
+static void follow(struct follower *fw);
+
+static void on_follow_timer(lws_sorted_usec_list_t *sul)
+{
+	follow(lws_container_of(sul, struct follower, retry));
+}
+
+static void take_object(struct follower *fw, json_object *obj)
+{
+	struct event ev = { .type = EVENT_OBJECT };
+
+	if (platform_signed_object(obj, fw->kind, &ev.object))
+		emit(fw->feed, &ev);
+}
+
+static void stop(struct follower *fw)
+{
+	struct platform *pf = fw->feed->opts.platform;
+
+	unschedule(fw->feed, &fw->retry);
+	if (fw->call)
+		pf->ops->cancel(pf, fw->call);
+	if (fw->watch)
+		pf->ops->unwatch(pf, fw->watch);
+	fw->call = NULL;
+	fw->watch = NULL;
+}
+
+/* Documents of organisations can only be judged after the grants that name them. */
+static void follow_others(struct feed *feed)
+{
+	for (size_t i = 1; i < G_N_ELEMENTS(kinds) && feed->watching; i++) {
+		stop(&feed->followers[i]);
+		follow(&feed->followers[i]);
+	}
+}
+
+static void on_watch(void *arg, enum watch_event what, json_object *obj)
+{
+	struct follower *fw = arg;
+	struct feed *feed = fw->feed;
+
+	switch (what) {
+	case WATCH_CHANGED:
+		take_object(fw, obj);
+		if (fw->kind == PEER_OBJECT_GRANTS)
+			follow_others(feed);
+		break;
+	case WATCH_LIST_AGAIN:
+		stop(fw);
+		follow(fw);
+		break;
+	case WATCH_UP:
+		note(feed, true);
+		break;
+	case WATCH_DELETED: /* nothing in force ends because its object is deleted */
+	case WATCH_DOWN:    /* opened again by the client */
+		break;
+	}
+}
+
+static void on_objects_listed(void *arg, const struct platform_result *res)
+{
+	struct follower *fw = arg;
+	struct feed *feed = fw->feed;
+	struct platform *pf = feed->opts.platform;
+	json_object *items = res->body ? json_object_object_get(res->body, "items") : NULL;
+
+	fw->call = NULL;
+	note_status(feed, res->status);
+	if (!feed->watching)
+		return;
+	if (!items || !json_object_is_type(items, json_type_array)) {
+		schedule(feed, &fw->retry, on_follow_timer, backoff(&fw->retry_ms));
+		return;
+	}
+	fw->retry_ms = FEED_RETRY_MIN_MS;
+	/* The receiver of an event may end the watching. */
+	for (size_t i = 0; i < json_object_array_length(items) && feed->watching; i++)
+		take_object(fw, json_object_array_get_idx(items, i));
+	if (!feed->watching)
+		return;
+	fw->watch = pf->ops->watch(pf, platform_kind(fw->kind), res->version, on_watch, fw);
+	if (fw->kind == PEER_OBJECT_GRANTS)
+		follow_others(feed);
+}
+
+static void follow(struct follower *fw)
+{
+	struct platform *pf = fw->feed->opts.platform;
+
+	if (!fw->call && !fw->watch)
+		fw->call = pf->ops->list(pf, platform_kind(fw->kind), NULL, PLATFORM_CALL_MS,
+					 on_objects_listed, fw);
+}
+
+void feed_watch(struct feed *feed, bool on)
+{
+	if (feed->watching == on)
+		return;
+	feed->watching = on;
+	if (on)
+		follow(&feed->followers[0]);
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds) && !on; i++)
+		stop(&feed->followers[i]);
+}
+
+struct feed *feed_new(const struct feed_options *opts)
+{
+	struct feed *feed = g_new0(struct feed, 1);
+
+	feed->opts = *opts;
+	feed->reg_version = g_string_new(NULL);
+	feed->reg_retry_ms = FEED_RETRY_MIN_MS;
+	feed->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		feed->followers[i] = (struct follower){
+			.feed = feed,
+			.kind = kinds[i],
+			.retry_ms = FEED_RETRY_MIN_MS,
+		};
+	write_entry(feed);
+	list_instances(feed);
+	return feed;
+}
+
+void feed_free(struct feed *feed)
+{
+	struct platform *pf;
+
+	if (!feed)
+		return;
+	pf = feed->opts.platform;
+	feed_watch(feed, false);
+	unschedule(feed, &feed->reg_timer);
+	unschedule(feed, &feed->list_timer);
+	if (feed->reg_call)
+		pf->ops->cancel(pf, feed->reg_call);
+	if (feed->list_call)
+		pf->ops->cancel(pf, feed->list_call);
+	g_string_free(feed->reg_version, TRUE);
+	g_hash_table_unref(feed->entries);
+	g_free(feed);
+}
--- /dev/null
+++ b/feed.h
@@ -0,0 +1,52 @@
+/*
+ * Connects a balancer to the platform: registers and renews its own entry in the list of
+ * instances, reads that list, and watches the configuration objects while it is told to. Results
+ * are EVENT_OBJECT, EVENT_INSTANCES and EVENT_PLATFORM.
+ */
+#ifndef FEED_H
+#define FEED_H
+
+#include "platform.h"
+
+/*
+ * With 1,400 instances in groups of 61: 47 renewals and 47 reads of a group a second for the whole
+ * fleet, and 400 bytes a second for each instance; a read of the whole list, 280 KB, adds 470.
+ */
+#define RENEW_MS	  30000
+#define LIST_GROUP_MS	  30000
+#define LIST_ALL_MS	  600000
+#define GONE_KEPT_MS	  600000 /* how long an instance is reported as gone */
+#define FEED_RETRY_MIN_MS 200
+#define FEED_RETRY_MAX_MS 10000
+
+struct feed;
+
+struct feed_options {
+	struct lws_context *context;
+	struct platform *platform;
+	struct clock *clock;
+	struct random *random;
+	struct instance_info self;
+	struct endpoint admin; /* where it serves its status, for operators' tools */
+	/* Called from the loop; the event's pointers are valid during the call. */
+	void (*event)(void *arg, const struct event *ev);
+	void *arg;
+};
+
+/* Starts to register and to read the list. Everything in @opts must outlive the feed. */
+struct feed *feed_new(const struct feed_options *opts);
+void feed_free(struct feed *feed);
+
+/* ACTION_WATCH: starts (lists, then watches) or stops following the configuration objects. */
+void feed_watch(struct feed *feed, bool on);
+
+/* Writes the phase into the instance's entry: INSTANCE_LEAVING, then INSTANCE_GONE at the end. */
+void feed_set_phase(struct feed *feed, enum instance_phase phase);
+/* Whether the entry has the phase set last. A stop need not wait for it. */
+bool feed_phase_written(const struct feed *feed);
+
+/* Reads and makes the platform's form of an instance. Returns false when it is malformed. */
+bool instance_from_json(json_object *obj, struct instance_info *info, struct endpoint *admin);
+json_object *instance_to_json(const struct instance_info *info, struct endpoint admin);
+
+#endif
--- /dev/null
+++ b/httpcall.h
@@ -0,0 +1,60 @@
+/*
+ * HTTP/1.1 calls over libwebsockets' client on a given context. Each call has its own deadline and
+ * ends exactly once, always from the loop and never inside http_call_start().
+ */
+#ifndef HTTPCALL_H
+#define HTTPCALL_H
+
+#include <libwebsockets.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "packet.h"
+
+struct http_client;
+struct http_call;
+
+enum http_error {
+	HTTP_ANSWERED,
+	HTTP_TIMEOUT,  /* the deadline passed: the server may or may not have acted */
+	HTTP_REFUSED,  /* no connection: the server has not seen the request */
+	HTTP_BROKEN,   /* the connection ended before the answer: it may or may not have acted */
+	HTTP_TOO_LONG, /* the answer is longer than allowed */
+};
+
+struct http_answer {
+	enum http_error error;
+	unsigned int status; /* 0 unless the head of the answer arrived */
+	const char *body;    /* with a closing 0; NULL when @chunk was given */
+	size_t len;
+};
+
+struct http_request {
+	struct endpoint server;
+	const char *method;
+	const char *path; /* with the query */
+	const char *body; /* NULL for none */
+	size_t len;
+	uint32_t deadline_ms;
+	size_t max_answer; /* bytes */
+	/* Optional: the head of the answer arrived. */
+	void (*opened)(void *arg, unsigned int status);
+	/* Optional: takes the body in parts, for answers without end. May cancel the call. */
+	void (*chunk)(void *arg, const char *bytes, size_t len);
+	void (*done)(void *arg, const struct http_answer *answer);
+	void *arg;
+};
+
+/* The context must outlive the client. Returns NULL when libwebsockets has no memory. */
+struct http_client *http_client_new(struct lws_context *context);
+/* Cancels all calls. */
+void http_client_free(struct http_client *client);
+
+struct http_call *http_call_start(struct http_client *client, const struct http_request *req);
+/* Ends a call without calling @done. */
+void http_call_cancel(struct http_call *call);
+/* Starts the deadline again from now. */
+void http_call_extend(struct http_call *call, uint32_t deadline_ms);
+
+#endif
--- /dev/null
+++ b/instance.c
@@ -0,0 +1,62 @@
+/* The platform's form of an entry in the list of instances; see feed.h. */
+#include <string.h>
+
+#include "address.h"
+#include "feed.h"
+
+static const char *const phases[] = {
+	[INSTANCE_LIVE] = "live",
+	[INSTANCE_LEAVING] = "leaving",
+	[INSTANCE_GONE] = "gone",
+};
+
+static const char *text_of(json_object *obj, const char *key)
+{
+	json_object *value = json_object_object_get(obj, key);
+
+	return value && json_object_is_type(value, json_type_string) ? json_object_get_string(value)
+								     : "";
+}
+
+bool instance_from_json(json_object *obj, struct instance_info *info, struct endpoint *admin)
+{
+	json_object *id = json_object_object_get(obj, "id");
+	const char *phase = text_of(obj, "phase");
+	bool known = false;
+
+	*info = (struct instance_info){ 0 };
+	if (!id || !json_object_is_type(id, json_type_int) || json_object_get_int64(id) < 1 ||
+	    json_object_get_int64(id) > UINT32_MAX ||
+	    !endpoint_parse(text_of(obj, "peer"), &info->peer) ||
+	    !endpoint_parse(text_of(obj, "admin"), admin))
+		return false;
+	info->id = (uint32_t)json_object_get_int64(id);
+	for (size_t i = 0; i < G_N_ELEMENTS(phases); i++) {
+		if (!strcmp(phase, phases[i])) {
+			info->phase = (enum instance_phase)i;
+			known = true;
+		}
+	}
+	return known &&
+	       g_strlcpy(info->name, platform_name(obj), sizeof(info->name)) < sizeof(info->name) &&
+	       g_strlcpy(info->group, text_of(obj, "group"), sizeof(info->group)) <
+		       sizeof(info->group) &&
+	       g_strlcpy(info->data_centre, text_of(obj, "data_centre"),
+			 sizeof(info->data_centre)) < sizeof(info->data_centre);
+}
+
+json_object *instance_to_json(const struct instance_info *info, struct endpoint admin)
+{
+	json_object *obj = json_object_new_object();
+	char ep[ENDPOINT_TEXT_LEN];
+
+	json_object_object_add(obj, "id", json_object_new_int64(info->id));
+	json_object_object_add(obj, "group", json_object_new_string(info->group));
+	json_object_object_add(obj, "data_centre", json_object_new_string(info->data_centre));
+	endpoint_format(info->peer, ep);
+	json_object_object_add(obj, "peer", json_object_new_string(ep));
+	endpoint_format(admin, ep);
+	json_object_object_add(obj, "admin", json_object_new_string(ep));
+	json_object_object_add(obj, "phase", json_object_new_string(phases[info->phase]));
+	return obj;
+}
--- a/t/helper/standin.c
+++ b/t/helper/standin.c
@@ -10,6 +10,7 @@
 } commands[] = {
 	{ "caller", standin_caller },
 	{ "fabric", standin_fabric },
+	{ "platform", standin_platform },
 	{ "target", standin_target },
 };
 
--- a/t/helper/standin.h
+++ b/t/helper/standin.h
@@ -13,6 +13,7 @@
 
 int standin_target(int argc, char **argv);
 int standin_fabric(int argc, char **argv);
+int standin_platform(int argc, char **argv);
 int standin_caller(int argc, char **argv);
 
 /* Value of "--name VALUE", the @nth time it is given (from 0), or @def. */
