--- a/t/helper/standin.c
+++ b/t/helper/standin.c
@@ -10,6 +10,10 @@
 } commands[] = {
 	{ "caller", standin_caller },	{ "fabric", standin_fabric }, { "key", standin_key },
 	{ "publish", standin_publish }, { "target", standin_target },
+	{ "caller", standin_caller },
+	{ "fabric", standin_fabric },
+	{ "platform", standin_platform },
+	{ "target", standin_target },
 };
 
 int main(int argc, char **argv)
--- a/t/helper/standin.h
+++ b/t/helper/standin.h
@@ -13,6 +13,7 @@
 
 int standin_target(int argc, char **argv);
 int standin_fabric(int argc, char **argv);
+int standin_platform(int argc, char **argv);
 int standin_caller(int argc, char **argv);
 int standin_key(int argc, char **argv);
 int standin_publish(int argc, char **argv);
