--- a/t/helper/standin.c
+++ b/t/helper/standin.c
@@ -4,17 +4,20 @@
 #include <stdio.h>
 #include <string.h>
 
+/* One entry a line, so that lines added on different branches merge. */
+/* clang-format off */
 static const struct {
 	const char *name;
 	int (*run)(int argc, char **argv);
 } commands[] = {
-	{ "caller", standin_caller },	{ "fabric", standin_fabric }, { "key", standin_key },
-	{ "publish", standin_publish }, { "target", standin_target },
 	{ "caller", standin_caller },
 	{ "fabric", standin_fabric },
+	{ "key", standin_key },
 	{ "platform", standin_platform },
+	{ "publish", standin_publish },
 	{ "target", standin_target },
 };
+/* clang-format on */
 
 int main(int argc, char **argv)
 {
