peer: seal messages and match calls with replies

Cause: instances need authenticated messages, calls with deadlines, and no message that acts twice.

A repeated call gets its first reply again, because a packet passed on twice could run a UDP request twice. event.h includes the generated header as proto/peer.h, as peer.h is now this adapter.

Ruled out: a nonce of sender, incarnation and counter alone; it would repeat when a clock goes back across a restart, so a random salt is added. One counter for all receivers; it would use up a receiver's window with datagrams for others.

Conclusion: the transport is a vtable, so tests run it in memory.

--- a/event.h
+++ b/event.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 
 #include "packet.h"
-#include "peer.h"
+#include "proto/peer.h"
 #include "timeutil.h"
 
 /* Health and load of a target as one probe saw it. */
--- /dev/null
+++ b/peer.h
@@ -0,0 +1,102 @@
+/*
+ * Messages between instances: ONC RPC calls and replies, each sealed in one datagram.
+ *
+ * A message without a reply is a call with xid 0. A call with another xid is sent up to @tries
+ * times; a receiver that sees it again repeats its reply instead of handling it twice, so that no
+ * packet is passed on twice. Every datagram that is not taken is counted and dropped.
+ */
+#ifndef PEER_ADAPTER_H
+#define PEER_ADAPTER_H
+
+#include "counters.h"
+#include "event.h"
+#include "random.h"
+#include "seal.h"
+#include "settings.h"
+
+/* The most that one UDP datagram over IPv4 carries. */
+#define PEER_MAX_DATAGRAM 65507
+/* The longest encoded message that fits one datagram with the RPC call header. */
+#define PEER_RPC_BYTES	 40
+#define PEER_MAX_MESSAGE (PEER_MAX_DATAGRAM - SEAL_OVERHEAD - PEER_RPC_BYTES)
+/* Bounds memory when many homes are silent at once. */
+#define PEER_MAX_CALLS 16384
+#define PEER_TYPES     (PEER_CONFIG_OBJECT + 1)
+
+struct peer_transport;
+
+struct peer_transport_ops {
+	/* Sends @len bytes to @dst as one datagram; a datagram that cannot be sent is lost. */
+	void (*send)(struct peer_transport *tr, struct endpoint dst, const uint8_t *bytes,
+		     size_t len);
+};
+
+struct peer_transport {
+	const struct peer_transport_ops *ops;
+};
+
+struct peer_handler;
+
+struct peer_handler_ops {
+	/* A message or call of @src; @xid is 0 or names the call in peer_reply(). */
+	void (*message)(struct peer_handler *handler, uint32_t src, uint32_t xid,
+			const peer_msg *msg);
+	/* The one result of a peer_call(). @msg is NULL unless @status is CALL_OK. */
+	void (*result)(struct peer_handler *handler, uint32_t src, uint64_t call_id,
+		       enum call_status status, const peer_msg *msg);
+	/* Where @id receives messages; false if it is not known. */
+	bool (*endpoint)(struct peer_handler *handler, uint32_t id, struct endpoint *ep);
+};
+
+struct peer_handler {
+	const struct peer_handler_ops *ops;
+};
+
+struct peer_options {
+	uint32_t self;
+	uint32_t incarnation;
+	const struct peer_key *keys;
+	size_t nr_keys;
+	struct peer_transport *transport;
+	struct peer_handler *handler;
+	struct random *random;
+	struct counters *counters;
+};
+
+/* Bytes in datagrams by type of the message in them. */
+struct peer_traffic {
+	uint64_t in[PEER_TYPES];
+	uint64_t out[PEER_TYPES];
+};
+
+struct peer;
+
+struct peer *peer_new(const struct peer_options *opts);
+void peer_free(struct peer *peer);
+
+/*
+ * @bytes is an encoded peer_msg. Each returns 0, -EMSGSIZE when it does not fit one datagram,
+ * -EBADMSG when @bytes is too short to be a message, -EHOSTUNREACH when the address of @dst is not
+ * known.
+ */
+int peer_send(struct peer *peer, uint32_t dst, const uint8_t *bytes, size_t len);
+int peer_reply(struct peer *peer, uint32_t dst, uint32_t xid, const uint8_t *bytes, size_t len);
+
+/*
+ * Calls @dst. The handler gets exactly one result, at the latest after @tries times 1.25
+ * @timeout_ms. A call that cannot be sent gets CALL_FAILED from the next peer_timer().
+ */
+void peer_call(struct peer *peer, struct timespec now, uint32_t dst, uint64_t call_id,
+	       uint32_t timeout_ms, uint32_t tries, const uint8_t *bytes, size_t len);
+
+/* Takes a datagram that came from @src. */
+void peer_receive(struct peer *peer, struct endpoint src, const uint8_t *bytes, size_t len);
+
+/* Repeats calls that are due and gives up those without tries left. */
+void peer_timer(struct peer *peer, struct timespec now);
+
+const struct peer_traffic *peer_traffic(const struct peer *peer);
+/* Calls without a result yet. */
+size_t peer_calls_open(const struct peer *peer);
+
+#endif
