--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -24,5 +24,6 @@
 
 int cmd_help(int argc, char **argv);
 int cmd_version(int argc, char **argv);
+int cmd_run(int argc, char **argv);
 
 #endif
--- a/builtin/list.c
+++ b/builtin/list.c
@@ -1,6 +1,7 @@
 #include "builtin.h"
 
 const struct builtin builtins[] = {
+	{ "run", "run a balancer", cmd_run },
 	{ "help", "list the commands", cmd_help },
 	{ "version", "print the version", cmd_version },
 };
--- /dev/null
+++ b/log.h
@@ -0,0 +1,24 @@
+/*
+ * Log of changes of state through log4c, one line of key=value pairs each, to standard error. What
+ * happens per packet, message or probe is counted, not logged.
+ */
+#ifndef LOG_H
+#define LOG_H
+
+#include <glib.h>
+
+enum log_level {
+	LOG_LEVEL_ERROR,
+	LOG_LEVEL_WARN,
+	LOG_LEVEL_INFO,
+	LOG_LEVEL_DEBUG,
+};
+
+/* Starts the log at @level (error, warn, info or debug). Returns 0, or -EINVAL. */
+int log_init(const char *level, const char *instance);
+void log_release(void);
+
+/* Logs one line; @format gives key=value pairs, the first of them event=NAME. */
+void log_event(enum log_level level, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+#endif
--- /dev/null
+++ b/udp.h
@@ -0,0 +1,82 @@
+/*
+ * Datagrams in batches: one recvmmsg or sendmmsg call for up to 64 of them. Sockets do not block;
+ * what does not fit a full socket buffer is lost, as on any link, and counted by the caller.
+ */
+#ifndef UDP_H
+#define UDP_H
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include "packet.h"
+
+#define UDP_BATCH 64
+/* Room for what a sender in front of the datagram's body adds: GUE header, reset packet. */
+#define UDP_HEADER_BYTES 64
+/* Kernel buffer: some 20 ms of 200-byte packets at 200,000 a second, with the kernel's overhead. */
+#define UDP_BUFFER_BYTES (4 * 1024 * 1024)
+
+/* Returns a socket bound to @ep, or a negative errno. */
+int udp_open(struct endpoint ep);
+
+struct udp_in {
+	size_t size; /* of one buffer */
+	uint8_t *buffers;
+	struct iovec iovs[UDP_BATCH];
+	struct sockaddr_in names[UDP_BATCH];
+	struct mmsghdr msgs[UDP_BATCH];
+};
+
+/* Buffers for datagrams of up to @size bytes. */
+void udp_in_init(struct udp_in *in, size_t size);
+void udp_in_release(struct udp_in *in);
+
+/* Reads up to UDP_BATCH datagrams from @fd. Returns their number, or a negative errno. */
+int udp_in_receive(struct udp_in *in, int fd);
+
+/* Datagram @i of the last batch. Returns false when it was longer than its buffer. */
+static inline bool udp_in_at(const struct udp_in *in, int i, const uint8_t **bytes, size_t *len,
+			     struct endpoint *src)
+{
+	*bytes = in->iovs[i].iov_base;
+	*len = in->msgs[i].msg_len;
+	*src = (struct endpoint){ ntohl(in->names[i].sin_addr.s_addr),
+				  ntohs(in->names[i].sin_port) };
+	return !(in->msgs[i].msg_hdr.msg_flags & MSG_TRUNC);
+}
+
+/* Datagrams to send. Bodies are given as offsets, because their buffer may move as it grows. */
+struct udp_out {
+	int fd;
+	unsigned int nr;
+	size_t offsets[UDP_BATCH];
+	uint8_t headers[UDP_BATCH][UDP_HEADER_BYTES];
+	struct iovec iovs[UDP_BATCH][2];
+	struct sockaddr_in names[UDP_BATCH];
+	struct mmsghdr msgs[UDP_BATCH];
+	uint64_t lost; /* datagrams that the kernel did not take */
+};
+
+void udp_out_init(struct udp_out *out, int fd);
+
+static inline bool udp_out_full(const struct udp_out *out)
+{
+	return out->nr == UDP_BATCH;
+}
+
+/*
+ * Adds a datagram to @dst: a header that the caller writes to the returned buffer and @len bytes
+ * at @offset of the body buffer. @out must not be full.
+ */
+uint8_t *udp_out_add(struct udp_out *out, struct endpoint dst, size_t offset, size_t len);
+/* Sets the length of the header of the datagram that was added last. */
+static inline void udp_out_header(struct udp_out *out, size_t len)
+{
+	out->iovs[out->nr - 1][0].iov_len = len;
+}
+
+/* Sends everything; @bodies is the body buffer. */
+void udp_out_flush(struct udp_out *out, uint8_t *bodies);
+
+#endif
