--- a/builtin/run.c
+++ b/builtin/run.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "http.h"
 #include "log.h"
 #include "loop.h"
 
@@ -40,7 +41,9 @@
 		log_event(LOG_LEVEL_ERROR, "event=start_failed error=\"%s\"", strerror(-ret));
 		goto cleanup;
 	}
-	ret = loop_catch_signals(loop);
+	ret = http_listen(loop);
+	if (!ret)
+		ret = loop_catch_signals(loop);
 	if (!ret) {
 		log_event(LOG_LEVEL_INFO,
 			  "event=start version=" JUJUBESTAGE_VERSION
@@ -48,6 +51,8 @@
 			  set->id, set->group->str, set->data_centre->str, opts.incarnation);
 		ret = loop_run(loop);
 		log_event(LOG_LEVEL_INFO, "event=stop complete=%d", !ret);
+	} else {
+		log_event(LOG_LEVEL_ERROR, "event=start_failed error=\"%s\"", strerror(-ret));
 	}
 	loop_free(loop);
 cleanup:
