--- a/Makefile
+++ b/Makefile
@@ -98,10 +98,16 @@
 		case $$f in *.md) dir=docs ;; *) dir=proto ;; esac; \
 		cmp "$$f" "$$dir/$$(basename "$$f")" || exit 1; done
 
+# Whole reports of two traces; renewed only after a change of decisions that is meant.
+golden: jujubestage
+	@for t in bantayan/kill-drain vltava/withdraw; do mkdir -p t/golden/$$(dirname $$t); \
+		./jujubestage replay t/traces/$$(dirname $$t)/fleet t/traces/$$t.trace \
+			>t/golden/$$t.report || exit 1; done
+
 clean:
 	rm -rf $(BUILD) jujubestage
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps test tests bench demo format check-format lint generate check-generated clean
+.PHONY: all deps test tests bench demo format check-format lint generate check-generated golden clean
 .SECONDARY:
