--- a/counters.h
+++ b/counters.h
@@ -40,6 +40,9 @@
 	X(recoveries, "shards taken over from a lost home")                                        \
 	X(handovers, "shards handed over in a planned leave")                                      \
 	X(step_downs, "times the instance gave up its shards after a pause")                       \
+	X(terminated, "flows ended by a reset without a claim")                                    \
+	X(drop_uncertain, "packets dropped: home unknown, uncertain or recovering")                \
+	X(drop_parked, "packets dropped: no room to wait or no answer in time")                    \
 	X(silent_flows, "flows ended because their answers stopped")                               \
 	X(cache_evicted, "flows dropped from the flow cache for space")                            \
 	X(config_accepted, "configuration objects accepted")                                       \
--- /dev/null
+++ b/follow.c
@@ -0,0 +1,399 @@
+#include "route.h"
+
+#define REFRESH_MESSAGES 4 /* in one visit of a shard; a later visit goes on */
+
+static uint32_t decode_target(const struct homes *homes, const struct shard *shard,
+			      const peer_target *target)
+{
+	struct endpoint ep = { .ip = target->ip, .port = (uint16_t)(target->port_flags >> 16) };
+	const struct target_config *tc = config_target(homes->cfg, shard->owner->svc, ep);
+
+	return tc ? tc->index : TARGET_NONE;
+}
+
+bool follow_take_buckets(struct homes *homes, struct shard *shard, const peer_bucket *buckets,
+			 u_int nr)
+{
+	for (u_int i = 0; i < nr; i++) {
+		uint32_t b = buckets[i].index_mode >> 8;
+		uint32_t mode = buckets[i].index_mode & 0xff;
+
+		if (b >= BUCKETS_PER_SHARD || mode > BUCKET_SHARED)
+			return false;
+	}
+	for (u_int i = 0; i < nr; i++)
+		shard->buckets[buckets[i].index_mode >> 8] = (struct bucket){
+			.base = decode_target(homes, shard, &buckets[i].base),
+			.current = decode_target(homes, shard, &buckets[i].current),
+			.mode = (uint8_t)buckets[i].index_mode,
+		};
+	shard->known = true;
+	return true;
+}
+
+static peer_shard fence_header(const struct shard *shard)
+{
+	peer_shard header = shard_header(shard);
+
+	header.term = shard->fence_term;
+	header.home = shard->fence_home;
+	header.epoch = 0;
+	return header;
+}
+
+static void gather_recent(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			  const peer_shard_announce *ann, GArray *pins)
+{
+	for (u_int i = 0; i < ann->buckets.buckets_len; i++) {
+		const peer_bucket *bucket = &ann->buckets.buckets_val[i];
+		struct flow *flow;
+		size_t pos = 0;
+
+		if ((bucket->index_mode & 0xff) != PEER_BUCKET_SHARED)
+			continue;
+		while (pins->len < RECENT_MAX &&
+		       (flow = flowtab_next(homes->tab,
+					    bucket_number(shard, bucket->index_mode >> 8), &pos))) {
+			peer_pin pin;
+
+			if (!flow_recent(homes, ctx, flow) || !flow_of_shard(homes, shard, flow))
+				continue;
+			pin = pin_encode(homes, ctx, flow);
+			g_array_append_val(pins, pin);
+		}
+	}
+}
+
+static void send_ack(struct ctx *ctx, uint32_t dst, uint32_t xid, peer_shard header, GArray *pins)
+{
+	peer_msg msg = { .type = PEER_SHARD_ACK };
+
+	msg.peer_msg_u.ack.shard = header;
+	if (pins)
+		msg.peer_msg_u.ack.recent.recent_len = pins->len;
+	if (pins)
+		msg.peer_msg_u.ack.recent.recent_val = (peer_pin *)pins->data;
+	peer_reply(ctx, dst, xid, &msg);
+}
+
+/* Applies an announcement of the term in force. Returns false when an earlier one is missing. */
+static bool apply(struct homes *homes, struct shard *shard, const peer_shard_announce *ann)
+{
+	bool same = shard->term == ann->shard.term && shard->home == ann->shard.home;
+
+	if (same && ann->shard.epoch <= shard->epoch)
+		return true; /* repeated: acknowledged again, with the recent flows */
+	if (same ? ann->since > shard->epoch : ann->since)
+		return false;
+	if (!follow_take_buckets(homes, shard, ann->buckets.buckets_val, ann->buckets.buckets_len))
+		return false;
+	shard->term = ann->shard.term;
+	shard->home = ann->shard.home;
+	shard->epoch = ann->shard.epoch;
+	if (!ann->certain)
+		shard->valid = false;
+	return true;
+}
+
+void follow_announce(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
+		     uint32_t xid, const peer_shard_announce *ann)
+{
+	int cmp = shard_observe(homes, ctx, shard, &ann->shard);
+	peer_shard header;
+	GArray *pins;
+
+	if (cmp < 0 || src != ann->shard.home) {
+		ctx->counters->peer_stale_term++;
+		send_ack(ctx, src, xid, fence_header(shard), NULL);
+		return;
+	}
+	if (shard->role != SHARD_FOLLOWER)
+		return;
+	if (cmp > 0) {
+		/* This instance did not answer the pull of that term: the home may not wait for it.
+		 */
+		shard->valid = false;
+		shard->next_sync = ctx->now;
+	}
+	if (homes->leaving && shard->home == members_self(homes->mem))
+		ctx->counters->handovers++;
+	if (!apply(homes, shard, ann)) {
+		header = fence_header(shard);
+		if (shard->term == header.term && shard->home == header.home)
+			header.epoch = shard->epoch;
+		send_ack(ctx, src, xid, header, NULL);
+		return;
+	}
+	pins = g_array_new(FALSE, FALSE, sizeof(peer_pin));
+	gather_recent(homes, ctx, shard, ann, pins);
+	send_ack(ctx, src, xid, shard_header(shard), pins);
+	g_array_unref(pins);
+}
+
+static void send_state(struct homes *homes, struct ctx *ctx, const struct shard *shard,
+		       uint32_t dst, uint32_t xid, peer_shard header, bool complete, bool buckets,
+		       uint32_t next, GArray *pins)
+{
+	peer_bucket encoded[BUCKETS_PER_SHARD];
+	peer_msg msg = { .type = PEER_SHARD_STATE };
+	peer_shard_state *state = &msg.peer_msg_u.state;
+
+	state->shard = header;
+	state->next = next;
+	state->complete = complete;
+	if (buckets) {
+		state->buckets.buckets_len = assign_encode(homes, shard, 0, encoded);
+		state->buckets.buckets_val = encoded;
+	}
+	if (pins) {
+		state->pins.pins_len = pins->len;
+		state->pins.pins_val = (peer_pin *)pins->data;
+	}
+	peer_reply(ctx, dst, xid, &msg);
+}
+
+/* The home's answer to a member that asks for the buckets alone. */
+static void answer_sync(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
+			uint32_t xid)
+{
+	struct shard_peer *peer = lead_peer(shard, src);
+
+	if (!shard_acting(homes, ctx, shard) || shard->lead->guarded || !peer) {
+		send_state(homes, ctx, shard, src, xid, fence_header(shard), false, false, 0, NULL);
+		return;
+	}
+	/* It asked just now, so a change waits for it again. */
+	peer->silent = false;
+	send_state(homes, ctx, shard, src, xid, shard_header(shard), true, true, 0, NULL);
+}
+
+void follow_pull(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
+		 uint32_t xid, const peer_shard_pull *pull)
+{
+	uint32_t cursor = pull->cursor;
+	GArray *pins;
+
+	if (!pull->shard.term) {
+		answer_sync(homes, ctx, shard, src, xid);
+		return;
+	}
+	if (src != pull->shard.home || shard_observe(homes, ctx, shard, &pull->shard) < 0) {
+		ctx->counters->peer_stale_term++;
+		send_state(homes, ctx, shard, src, xid, fence_header(shard), false, false, 0, NULL);
+		return;
+	}
+	pins = g_array_new(FALSE, FALSE, sizeof(peer_pin));
+	pins_gather(homes, ctx, shard, &cursor, PINS_PER_MESSAGE, false, pins);
+	send_state(homes, ctx, shard, src, xid, shard_header(shard), false,
+		   shard->known && !pull->cursor, cursor, pins);
+	g_array_unref(pins);
+}
+
+void follow_synced(struct homes *homes, struct ctx *ctx, struct shard *shard, const peer_msg *msg)
+{
+	const peer_shard_state *state;
+	bool newer;
+
+	if (!msg || msg->type != PEER_SHARD_STATE || shard->role != SHARD_FOLLOWER)
+		return;
+	state = &msg->peer_msg_u.state;
+	if (shard_observe(homes, ctx, shard, &state->shard) < 0 || !state->complete)
+		return;
+	newer = shard->term != state->shard.term || shard->home != state->shard.home ||
+		shard->epoch < state->shard.epoch;
+	if (newer && !follow_take_buckets(homes, shard, state->buckets.buckets_val,
+					  state->buckets.buckets_len))
+		return;
+	if (newer) {
+		shard->term = state->shard.term;
+		shard->home = state->shard.home;
+		shard->epoch = state->shard.epoch;
+	}
+	shard->valid = members_lease_fresh(homes->mem, ctx->now) && !homes->cut;
+}
+
+void follow_timer(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t *budget)
+{
+	peer_msg msg = { .type = PEER_SHARD_PULL };
+	uint32_t home;
+
+	if (shard->role != SHARD_FOLLOWER || shard->valid || homes->cut || !homes->fresh ||
+	    !*budget || ts_cmp(ctx->now, shard->next_sync) < 0)
+		return;
+	home = shard_home(homes, ctx, shard);
+	if (home == MEMBER_NONE)
+		return;
+	(*budget)--;
+	shard->next_sync = ts_add_ms(ctx->now, SYNC_INTERVAL_MS);
+	msg.peer_msg_u.pull.shard = shard_header(shard);
+	msg.peer_msg_u.pull.shard.term = 0;
+	call_make(homes, ctx,
+		  (struct call){
+			  .kind = CALL_SYNC,
+			  .dst = home,
+			  .addr = shard->owner->addr,
+			  .index = shard->index,
+		  },
+		  CALL_TIMEOUT_MS, 2, &msg);
+}
+
+/* Pins of flows in shared buckets that this instance saw lately, from the shard's cursor on. */
+static void gather_used(struct homes *homes, struct ctx *ctx, struct shard *shard, GArray *pins)
+{
+	uint32_t now_ms = flowtab_ms(homes->tab, ctx->now);
+	uint32_t b = shard->refresh_cursor >> 24;
+	size_t pos = shard->refresh_cursor & 0xffffff;
+
+	for (; b < BUCKETS_PER_SHARD; b++, pos = 0) {
+		struct flow *flow;
+
+		if (shard->buckets[b].mode != BUCKET_SHARED)
+			continue;
+		while (pins->len < PINS_PER_MESSAGE &&
+		       (flow = flowtab_next(homes->tab, bucket_number(shard, b), &pos))) {
+			peer_pin pin;
+
+			if (!flow_trusted(flow) || now_ms - flow->used_ms > REFRESH_MS ||
+			    !flow_of_shard(homes, shard, flow))
+				continue;
+			pin = pin_encode(homes, ctx, flow);
+			g_array_append_val(pins, pin);
+		}
+		if (pins->len >= PINS_PER_MESSAGE) {
+			shard->refresh_cursor = b << 24 | (uint32_t)pos;
+			return;
+		}
+	}
+	shard->refresh_cursor = 0;
+}
+
+void follow_refresh(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	uint32_t home = shard_home(homes, ctx, shard);
+
+	if (home == MEMBER_NONE ||
+	    (!shard->refresh_cursor && ts_cmp(ctx->now, shard->next_refresh) < 0))
+		return;
+	for (int i = 0; i < REFRESH_MESSAGES; i++) {
+		GArray *pins = g_array_new(FALSE, FALSE, sizeof(peer_pin));
+		peer_msg msg = { .type = PEER_PIN_BATCH };
+
+		gather_used(homes, ctx, shard, pins);
+		msg.peer_msg_u.pins = (peer_pin_batch){
+			.shard = shard_header(shard),
+			.refresh = true,
+			.pins = { pins->len, (peer_pin *)pins->data },
+		};
+		if (pins->len)
+			actions_add_peer(ctx->out,
+					 (struct action){
+						 .type = ACTION_PEER_SEND,
+						 .dst = home,
+					 },
+					 &msg);
+		g_array_unref(pins);
+		if (!shard->refresh_cursor)
+			break;
+	}
+	shard->next_refresh = ts_add_ms(ctx->now, REFRESH_MS);
+}
+
+static void take_refresh(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			 const peer_pin *pin)
+{
+	struct flow *flow = flowtab_find(homes->tab, pin->flow);
+	uint32_t target = pin_target(homes, shard, pin);
+	uint32_t b = bucket_of(pin->flow) % BUCKETS_PER_SHARD;
+
+	if (target == TARGET_NONE || shard_of(pin->flow) != shard->index)
+		return;
+	if (!flow && (pin_flags(pin) & FLOW_CLOSED))
+		return;
+	if (target == shard->buckets[b].base)
+		shard->lead->base_seen_ms[b] = ts_to_ms(ctx->now);
+	pin_merge(homes, ctx, shard, pin);
+}
+
+/*
+ * A pin from the home. Copies for the backup are kept; a flow that moved before it was opened is
+ * changed, and its opening sent on if this instance saved it; a closed one is forgotten.
+ */
+static void take_pin(struct homes *homes, struct ctx *ctx, struct shard *shard, const peer_pin *pin)
+{
+	struct flow *flow = flowtab_find(homes->tab, pin->flow);
+	uint32_t target = pin_target(homes, shard, pin);
+	const struct saved_opening *saved;
+
+	if (pin_flags(pin) & FLOW_CLOSED) {
+		if (flow && flow->opening_id != pin->opening_id)
+			flow_remove(homes, ctx, flow);
+		return;
+	}
+	if (target == TARGET_NONE || shard_of(pin->flow) != shard->index)
+		return;
+	if (pin_flags(pin) & FLOW_HELD) {
+		flow_set(homes, ctx, shard, pin->flow, target, pin->opening_id, pin_flags(pin));
+		return;
+	}
+	saved = opening_saved(homes, ctx, pin->flow, pin->opening_id);
+	if (!flow && !saved)
+		return;
+	flow = flow_set(homes, ctx, shard, pin->flow, target, pin->opening_id, FLOW_HELD);
+	if (flow && saved)
+		route_saved(homes, ctx, flow, saved);
+}
+
+void follow_pins(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
+		 uint32_t xid, const peer_pin_batch *batch)
+{
+	if (batch->refresh) {
+		for (u_int i = 0; shard->role == SHARD_HOME && i < batch->pins.pins_len; i++)
+			take_refresh(homes, ctx, shard, &batch->pins.pins_val[i]);
+		return;
+	}
+	if (src != batch->shard.home || shard_observe(homes, ctx, shard, &batch->shard) < 0) {
+		ctx->counters->peer_stale_term++;
+		send_ack(ctx, src, xid, fence_header(shard), NULL);
+		return;
+	}
+	if (shard->role != SHARD_FOLLOWER)
+		return;
+	for (u_int i = 0; i < batch->pins.pins_len; i++)
+		take_pin(homes, ctx, shard, &batch->pins.pins_val[i]);
+	send_ack(ctx, src, xid, batch->shard, NULL);
+}
+
+void follow_unknown(struct ctx *ctx, uint32_t src, uint32_t xid, const peer_msg *msg)
+{
+	peer_msg out = { .type = PEER_SHARD_ACK };
+
+	switch (msg->type) {
+	case PEER_SHARD_ANNOUNCE:
+		out.peer_msg_u.ack.shard = msg->peer_msg_u.announce.shard;
+		break;
+	case PEER_PIN_BATCH:
+		out.peer_msg_u.ack.shard = msg->peer_msg_u.pins.shard;
+		break;
+	case PEER_SHARD_PULL:
+		out.type = PEER_SHARD_STATE;
+		out.peer_msg_u.state = (peer_shard_state){ .shard = msg->peer_msg_u.pull.shard };
+		break;
+	case PEER_PASS:
+		out.type = PEER_PASS_RESULT;
+		out.peer_msg_u.pass_result = (peer_pass_result){
+			.shard = msg->peer_msg_u.pass.shard,
+			.verdict = PEER_VERDICT_NOT_HOME,
+		};
+		break;
+	case PEER_ANSWER_NOTE:
+		out.type = PEER_PASS_RESULT;
+		out.peer_msg_u.pass_result = (peer_pass_result){
+			.shard = msg->peer_msg_u.note.shard,
+			.verdict = PEER_VERDICT_NOT_HOME,
+		};
+		break;
+	default:
+		return;
+	}
+	peer_reply(ctx, src, xid, &out);
+}
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -39,6 +39,7 @@
 	peer_service service;
 	u_int shard;
 	u_int term;
+	u_int home;
 	u_int epoch;
 };
 typedef struct peer_shard peer_shard;
@@ -46,6 +47,12 @@
 #define PIN_PAYLOAD 2
 #define PIN_CLOSED 4
 #define PIN_BASE 8
+#define PIN_HELD 16
+#define PIN_FIN_CALLER 32
+#define PIN_FIN_TARGET 64
+#define PIN_AGE_SHIFT 7
+#define PIN_AGE_UNIT_MS 256
+#define PIN_AGE_MAX 511
 
 struct peer_pin {
 	u_quad_t flow;
@@ -119,6 +126,8 @@
 
 struct peer_shard_announce {
 	peer_shard shard;
+	u_int since;
+	bool_t certain;
 	struct {
 		u_int buckets_len;
 		peer_bucket *buckets_val;
@@ -137,13 +146,13 @@
 
 struct peer_shard_pull {
 	peer_shard shard;
+	u_int cursor;
 };
 typedef struct peer_shard_pull peer_shard_pull;
 
 struct peer_shard_state {
 	peer_shard shard;
-	u_int part;
-	u_int parts;
+	u_int next;
 	bool_t complete;
 	struct {
 		u_int buckets_len;
@@ -159,7 +168,10 @@
 struct peer_pass {
 	peer_shard shard;
 	u_quad_t flow;
+	u_int kind;
 	u_int opening_id;
+	u_int payload_len;
+	int deadline_ms;
 	struct {
 		u_int bytes_len;
 		char *bytes_val;
@@ -174,6 +186,7 @@
 	PEER_VERDICT_DROP = 3,
 	PEER_VERDICT_NOT_HOME = 4,
 	PEER_VERDICT_UNKNOWN = 5,
+	PEER_VERDICT_TERMINATE = 6,
 };
 typedef enum peer_verdict peer_verdict;
 
@@ -196,7 +209,7 @@
 
 struct peer_answer_note {
 	peer_shard shard;
-	u_int accepted;
+	u_int kind;
 	peer_pin pin;
 };
 typedef struct peer_answer_note peer_answer_note;
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -32,6 +32,7 @@
 	peer_service service;
 	unsigned int shard;
 	unsigned int term;
+	unsigned int home; /* instance that holds the term; orders equal terms */
 	unsigned int epoch;
 };
 
@@ -40,6 +41,12 @@
 const PIN_PAYLOAD = 2;
 const PIN_CLOSED = 4;
 const PIN_BASE = 8;
+const PIN_HELD = 16;     /* held as one of the two copies of a pin */
+const PIN_FIN_CALLER = 32;
+const PIN_FIN_TARGET = 64;
+const PIN_AGE_SHIFT = 7; /* the other 9 bits: time since the last use */
+const PIN_AGE_UNIT_MS = 256;
+const PIN_AGE_MAX = 511;
 
 struct peer_pin {
 	unsigned hyper flow;
@@ -99,6 +106,8 @@
 /* Home to member: buckets that change. The reply is a peer_shard_ack. */
 struct peer_shard_announce {
 	peer_shard shard;
+	unsigned int since; /* epoch of this term that the buckets build on, 0 for all of them */
+	bool certain;       /* the home may eliminate, so members may use mode SINGLE */
 	peer_bucket buckets<PEER_MAX_BUCKETS>;
 };
 
@@ -107,26 +116,33 @@
 	peer_pin recent<PEER_MAX_PINS>;
 };
 
-/* New home to member: what do you know of this shard? The reply is a peer_shard_state. */
+/*
+ * New home to member: what do you know of this shard? The reply is a peer_shard_state. The shard
+ * names the new term, and the member promises to accept no lower one. With term 0 a member asks
+ * the home for the buckets alone.
+ */
 struct peer_shard_pull {
 	peer_shard shard;
+	unsigned int cursor; /* 0 for the first part, else peer_shard_state.next */
 };
 
 /* The state of a shard: the answer to a pull, and the body of a hand-over or a backup copy. */
 struct peer_shard_state {
 	peer_shard shard;
-	unsigned int part; /* number of this part, from 0 */
-	unsigned int parts;
-	bool complete;
+	unsigned int next; /* cursor of the next part, 0 after the last one */
+	bool complete;     /* sent by the acting home with a complete table */
 	peer_bucket buckets<PEER_MAX_BUCKETS>;
 	peer_pin pins<PEER_MAX_PINS>;
 };
 
-/* A packet passed on to the home, or a question on a flow when bytes is empty. */
+/* A packet passed on to the home; openings stay with the sender and travel without bytes. */
 struct peer_pass {
 	peer_shard shard;
 	unsigned hyper flow;
+	unsigned int kind; /* enum packet_kind */
 	unsigned int opening_id;
+	unsigned int payload_len;
+	int deadline_ms;
 	opaque bytes<PEER_MAX_PACKET>;
 };
 
@@ -136,7 +152,8 @@
 	PEER_VERDICT_REFUSE = 2,
 	PEER_VERDICT_DROP = 3,
 	PEER_VERDICT_NOT_HOME = 4,
-	PEER_VERDICT_UNKNOWN = 5
+	PEER_VERDICT_UNKNOWN = 5,  /* no target known */
+	PEER_VERDICT_TERMINATE = 6 /* the flow's target is gone: reset to the caller */
 };
 
 struct peer_pass_result {
@@ -145,18 +162,22 @@
 	peer_pin pin;
 };
 
-/* Pins for the receiver to keep: copies for the backup, or refreshes of flows still in use. */
+/*
+ * Refreshes of flows still in use, from a member to the home; or pins from the home: copies for
+ * the backup (PIN_HELD), flows that changed their target before they were opened, and flows to
+ * forget (PIN_CLOSED). Answered with a peer_shard_ack when it is a call.
+ */
 struct peer_pin_batch {
 	peer_shard shard;
 	bool refresh;
 	peer_pin pins<PEER_MAX_PINS>;
 };
 
-/* An answer of a target that the home must judge: an accepted or a refused opening. */
+/* An answer of a target that the home must judge; it stays with the sender. */
 struct peer_answer_note {
 	peer_shard shard;
-	unsigned int accepted;
-	peer_pin pin;
+	unsigned int kind; /* enum answer_kind */
+	peer_pin pin;      /* the target that answered, the opening that it answers */
 };
 
 struct peer_flow_query {
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -34,12 +34,57 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_peer_service (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->shard))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->term))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->home))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->epoch))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->shard);
+			IXDR_PUT_U_LONG(buf, objp->term);
+			IXDR_PUT_U_LONG(buf, objp->home);
+			IXDR_PUT_U_LONG(buf, objp->epoch);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_peer_service (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->shard))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->term))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->home))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->epoch))
+				 return FALSE;
+		} else {
+			objp->shard = IXDR_GET_U_LONG(buf);
+			objp->term = IXDR_GET_U_LONG(buf);
+			objp->home = IXDR_GET_U_LONG(buf);
+			objp->epoch = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_peer_service (xdrs, &objp->service))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->shard))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->term))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->home))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->epoch))
 		 return FALSE;
 	return TRUE;
@@ -210,6 +255,10 @@
 
 	 if (!xdr_peer_shard (xdrs, &objp->shard))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->certain))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
 		sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
 		 return FALSE;
@@ -236,6 +285,8 @@
 
 	 if (!xdr_peer_shard (xdrs, &objp->shard))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cursor))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -244,84 +295,90 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_peer_shard (xdrs, &objp->shard))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->next))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
+		sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pins.pins_val, (u_int *) &objp->pins.pins_len, PEER_MAX_PINS,
+		sizeof (peer_pin), (xdrproc_t) xdr_peer_pin))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_pass (XDR *xdrs, peer_pass *objp)
+{
+	register int32_t *buf;
+
 
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_peer_shard (xdrs, &objp->shard))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->flow))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->part))
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->opening_id))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->parts))
+			 if (!xdr_u_int (xdrs, &objp->payload_len))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->complete))
+			 if (!xdr_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->part);
-		IXDR_PUT_U_LONG(buf, objp->parts);
-		IXDR_PUT_BOOL(buf, objp->complete);
+		IXDR_PUT_U_LONG(buf, objp->kind);
+		IXDR_PUT_U_LONG(buf, objp->opening_id);
+		IXDR_PUT_U_LONG(buf, objp->payload_len);
+		IXDR_PUT_LONG(buf, objp->deadline_ms);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
-			sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->pins.pins_val, (u_int *) &objp->pins.pins_len, PEER_MAX_PINS,
-			sizeof (peer_pin), (xdrproc_t) xdr_peer_pin))
+		 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, PEER_MAX_PACKET))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_peer_shard (xdrs, &objp->shard))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->flow))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->part))
+			 if (!xdr_u_int (xdrs, &objp->kind))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->parts))
+			 if (!xdr_u_int (xdrs, &objp->opening_id))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->complete))
+			 if (!xdr_u_int (xdrs, &objp->payload_len))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
 
 		} else {
-		objp->part = IXDR_GET_U_LONG(buf);
-		objp->parts = IXDR_GET_U_LONG(buf);
-		objp->complete = IXDR_GET_BOOL(buf);
+		objp->kind = IXDR_GET_U_LONG(buf);
+		objp->opening_id = IXDR_GET_U_LONG(buf);
+		objp->payload_len = IXDR_GET_U_LONG(buf);
+		objp->deadline_ms = IXDR_GET_LONG(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
-			sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->pins.pins_val, (u_int *) &objp->pins.pins_len, PEER_MAX_PINS,
-			sizeof (peer_pin), (xdrproc_t) xdr_peer_pin))
+		 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, PEER_MAX_PACKET))
 			 return FALSE;
 	 return TRUE;
 	}
 
 	 if (!xdr_peer_shard (xdrs, &objp->shard))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->part))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->parts))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->complete))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
-		sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
+	 if (!xdr_u_quad_t (xdrs, &objp->flow))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->pins.pins_val, (u_int *) &objp->pins.pins_len, PEER_MAX_PINS,
-		sizeof (peer_pin), (xdrproc_t) xdr_peer_pin))
+	 if (!xdr_u_int (xdrs, &objp->kind))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_peer_pass (XDR *xdrs, peer_pass *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_peer_shard (xdrs, &objp->shard))
+	 if (!xdr_u_int (xdrs, &objp->opening_id))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->flow))
+	 if (!xdr_u_int (xdrs, &objp->payload_len))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->opening_id))
+	 if (!xdr_int (xdrs, &objp->deadline_ms))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, PEER_MAX_PACKET))
 		 return FALSE;
@@ -374,7 +431,7 @@
 
 	 if (!xdr_peer_shard (xdrs, &objp->shard))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->accepted))
+	 if (!xdr_u_int (xdrs, &objp->kind))
 		 return FALSE;
 	 if (!xdr_peer_pin (xdrs, &objp->pin))
 		 return FALSE;
--- /dev/null
+++ b/recover.c
@@ -0,0 +1,335 @@
+#include "shard.h"
+
+int term_cmp(uint32_t term_a, uint32_t home_a, uint32_t term_b, uint32_t home_b)
+{
+	if (term_a != term_b)
+		return term_a < term_b ? -1 : 1;
+	if (home_a != home_b)
+		return home_a < home_b ? -1 : 1;
+	return 0;
+}
+
+void shard_give_up(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	(void)homes;
+	shard->valid = false;
+	shard->next_sync = ctx->now;
+	if (shard->role == SHARD_FOLLOWER)
+		return;
+	shard->role = SHARD_FOLLOWER;
+	g_array_unref(shard->lead->peers);
+	g_free(shard->lead);
+	shard->lead = NULL;
+}
+
+int shard_observe(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		  const peer_shard *header)
+{
+	int cmp = term_cmp(header->term, header->home, shard->fence_term, shard->fence_home);
+
+	if (cmp <= 0)
+		return cmp;
+	shard->fence_term = header->term;
+	shard->fence_home = header->home;
+	if (shard->role != SHARD_FOLLOWER) {
+		shard_give_up(homes, ctx, shard);
+		/* Two members that both rank first would otherwise fence each other in turn. */
+		shard->hold_until = ts_add_ms(ctx->now, RECOVER_HOLD_MS);
+	}
+	return cmp;
+}
+
+static void recover_start(struct homes *homes, struct shard *shard)
+{
+	struct shard_lead *lead = g_new0(struct shard_lead, 1);
+
+	lead->term = MAX(shard->term, shard->fence_term) + 1;
+	lead->peers = g_array_new(FALSE, TRUE, sizeof(struct shard_peer));
+	lead->best_term = shard->term;
+	lead->best_home = shard->home;
+	lead->best_epoch = shard->epoch;
+	shard->lead = lead;
+	shard->role = SHARD_RECOVERING;
+	shard->fence_term = lead->term;
+	shard->fence_home = members_self(homes->mem);
+}
+
+static void pull(struct homes *homes, struct ctx *ctx, struct shard *shard, struct shard_peer *peer,
+		 uint32_t cursor)
+{
+	peer_msg msg = { .type = PEER_SHARD_PULL };
+
+	msg.peer_msg_u.pull.shard = shard_header(shard);
+	msg.peer_msg_u.pull.shard.term = shard->lead->term;
+	msg.peer_msg_u.pull.shard.home = members_self(homes->mem);
+	msg.peer_msg_u.pull.cursor = cursor;
+	peer->pull_call = call_make(homes, ctx,
+				    (struct call){
+					    .kind = CALL_PULL,
+					    .dst = peer->id,
+					    .addr = shard->owner->addr,
+					    .index = shard->index,
+					    .term = shard->lead->term,
+					    .cursor = cursor,
+				    },
+				    CALL_TIMEOUT_MS, CALL_TRIES, &msg);
+}
+
+/* Members that are gone take with them what they had not told. */
+static void drop_peers(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	struct shard_lead *lead = shard->lead;
+
+	for (guint i = lead->peers->len; i-- > 0;) {
+		struct shard_peer *peer = &g_array_index(lead->peers, struct shard_peer, i);
+		bool present = false;
+
+		for (guint k = 0; k < homes->peers->len && !present; k++)
+			present = g_array_index(homes->peers, uint32_t, k) == peer->id;
+		if (present)
+			continue;
+		if (!peer->answered)
+			lead->lost++;
+		if (lead->lost >= 2)
+			lead->uncertain_until =
+				ts_add_ms(ctx->now, shard->owner->svc->idle_timeout_ms);
+		g_array_remove_index(lead->peers, i);
+		lead->copying = true;
+		lead->copy_cursor = 0;
+	}
+}
+
+static void track_peers(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	struct shard_lead *lead = shard->lead;
+
+	drop_peers(homes, ctx, shard);
+	for (guint i = 0; i < homes->peers->len; i++) {
+		uint32_t id = g_array_index(homes->peers, uint32_t, i);
+		bool leaving = members_state(homes->mem, id) == MEMBER_LEAVING;
+		bool silent = !members_may_route(homes->mem, id, ctx->now);
+		struct shard_peer *peer = lead_peer(shard, id);
+
+		if (!peer) {
+			g_array_append_val(lead->peers, ((struct shard_peer){ .id = id }));
+			peer = &g_array_index(lead->peers, struct shard_peer, lead->peers->len - 1);
+		}
+		if (leaving != peer->leaving) {
+			peer->leaving = leaving;
+			lead->copying = true;
+			lead->copy_cursor = 0;
+		}
+		if (silent && !peer->silent)
+			peer->silent_since = ctx->now;
+		peer->silent = silent;
+		if (!peer->answered && !peer->pull_call)
+			pull(homes, ctx, shard, peer, 0);
+	}
+}
+
+static bool peer_given_up(const struct ctx *ctx, const struct shard_peer *peer)
+{
+	return peer->silent && ts_diff_ms(ctx->now, peer->silent_since) >= LEASE_MARGIN_MS;
+}
+
+static void judge_certainty(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	struct shard_lead *lead = shard->lead;
+	uint32_t missing = 0;
+	bool waiting = false;
+
+	for (guint i = 0; i < lead->peers->len; i++) {
+		const struct shard_peer *peer = &g_array_index(lead->peers, struct shard_peer, i);
+
+		if (peer->answered)
+			continue;
+		if (peer_given_up(ctx, peer))
+			missing++;
+		else
+			waiting = true;
+	}
+	/* Every pin is held twice, so what one member alone does not tell is not lost. */
+	lead->guarded = homes->cut || waiting || (missing && lead->lost + missing >= 2);
+}
+
+bool lead_uncertain(const struct shard *shard, const struct ctx *ctx)
+{
+	return shard->lead->guarded || ts_cmp(ctx->now, shard->lead->uncertain_until) < 0;
+}
+
+static void mark_pins(struct homes *homes, struct shard *shard)
+{
+	for (uint32_t b = 0; b < BUCKETS_PER_SHARD; b++) {
+		struct flow *flow;
+		size_t pos = 0;
+
+		while ((flow = flowtab_next(homes->tab, bucket_number(shard, b), &pos))) {
+			if (!flow_of_shard(homes, shard, flow))
+				continue;
+			flow->flags &= (uint8_t) ~(FLOW_BASE | FLOW_HELD);
+			flow->flags |=
+				flow->target == shard->buckets[b].base ? FLOW_BASE : FLOW_HELD;
+		}
+	}
+}
+
+static void recover_complete(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	struct shard_lead *lead = shard->lead;
+	struct timespec since = ts_add_ms(ctx->now, -(int64_t)LOSS_WINDOW_MS);
+
+	for (guint i = 0; i < lead->peers->len; i++) {
+		const struct shard_peer *peer = &g_array_index(lead->peers, struct shard_peer, i);
+
+		if (!peer->answered && !peer_given_up(ctx, peer))
+			return;
+	}
+	lead->lost += members_lost_since(homes->mem, since);
+	if (lead->lost >= 2)
+		lead->uncertain_until = ts_add_ms(ctx->now, shard->owner->svc->idle_timeout_ms);
+	if (shard->home != MEMBER_NONE && members_state(homes->mem, shard->home) == MEMBER_DEAD)
+		ctx->counters->recoveries++;
+	shard->role = SHARD_HOME;
+	shard->known = true;
+	shard->term = lead->term;
+	shard->home = members_self(homes->mem);
+	shard->epoch = 1;
+	mark_pins(homes, shard);
+	lead->copying = true;
+	judge_certainty(homes, ctx, shard);
+	assign_start(homes, ctx, shard);
+}
+
+uint32_t shard_backup(const struct homes *homes, const struct shard *shard)
+{
+	uint32_t self = members_self(homes->mem);
+	uint32_t id = MEMBER_NONE;
+
+	for (uint32_t rank = 0; rank < 3; rank++) {
+		id = members_home(homes->mem, shard->owner->addr, shard->index, rank);
+		if (id != self)
+			break;
+	}
+	return id == self ? MEMBER_NONE : id;
+}
+
+static void copy_pins(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	struct shard_lead *lead = shard->lead;
+	uint32_t backup = shard_backup(homes, shard);
+	uint32_t cursor = lead->copy_cursor;
+	peer_msg msg = { .type = PEER_PIN_BATCH };
+	GArray *pins;
+
+	if (!lead->copying || lead->copy_call)
+		return;
+	pins = g_array_new(FALSE, FALSE, sizeof(peer_pin));
+	if (backup != MEMBER_NONE)
+		pins_gather(homes, ctx, shard, &cursor, PINS_PER_MESSAGE, true, pins);
+	if (pins->len) {
+		msg.peer_msg_u.pins = (peer_pin_batch){
+			.shard = shard_header(shard),
+			.pins = { pins->len, (peer_pin *)pins->data },
+		};
+		lead->copy_call = call_make(homes, ctx,
+					    (struct call){
+						    .kind = CALL_COPY,
+						    .dst = backup,
+						    .addr = shard->owner->addr,
+						    .index = shard->index,
+						    .term = shard->term,
+						    .cursor = cursor,
+					    },
+					    CALL_TIMEOUT_MS, CALL_TRIES, &msg);
+	} else {
+		lead->copying = false;
+	}
+	g_array_unref(pins);
+}
+
+void recover_copied(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		    const struct call *call, const peer_msg *msg)
+{
+	struct shard_lead *lead = shard->lead;
+
+	(void)homes;
+	(void)ctx;
+	if (shard->role != SHARD_HOME || call->term != shard->term)
+		return;
+	lead->copy_call = 0;
+	if (!msg)
+		return;
+	lead->copy_cursor = call->cursor;
+	if (!call->cursor)
+		lead->copying = false;
+}
+
+void recover_timer(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	if (shard->role == SHARD_FOLLOWER && shard->elected && !homes->leaving && homes->fresh &&
+	    ts_cmp(ctx->now, shard->hold_until) >= 0)
+		recover_start(homes, shard);
+	else if (shard->role == SHARD_RECOVERING && !shard->elected)
+		shard_give_up(homes, ctx, shard);
+	if (shard->role == SHARD_FOLLOWER)
+		return;
+	track_peers(homes, ctx, shard);
+	if (shard->role == SHARD_RECOVERING) {
+		recover_complete(homes, ctx, shard);
+		return;
+	}
+	judge_certainty(homes, ctx, shard);
+	copy_pins(homes, ctx, shard);
+}
+
+/* Flows at other targets that another home pinned make the bucket shared. */
+static void share_pinned(struct homes *homes, struct shard *shard, const peer_pin *pin)
+{
+	uint32_t b = bucket_of(pin->flow) % BUCKETS_PER_SHARD;
+	const struct bucket *bucket = &shard->buckets[b];
+	const struct flow *flow = flowtab_find(homes->tab, pin->flow);
+
+	if (flow && bucket->mode == BUCKET_SINGLE && flow->target != bucket->base)
+		shard->lead->wanted |= 1ULL << b;
+}
+
+void recover_pulled(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		    const struct call *call, const peer_msg *msg)
+{
+	struct shard_lead *lead = shard->lead;
+	struct shard_peer *peer = lead_peer(shard, call->dst);
+	const peer_shard_state *state;
+
+	if (!lead || lead->term != call->term || !peer)
+		return;
+	peer->pull_call = 0;
+	if (!msg || msg->type != PEER_SHARD_STATE)
+		return;
+	state = &msg->peer_msg_u.state;
+	if (shard_observe(homes, ctx, shard, &state->shard) > 0)
+		return;
+	if (shard->role == SHARD_RECOVERING && state->buckets.buckets_len) {
+		int cmp = term_cmp(state->shard.term, state->shard.home, lead->best_term,
+				   lead->best_home);
+
+		if (cmp > 0 || (cmp == 0 && state->shard.epoch > lead->best_epoch)) {
+			follow_take_buckets(homes, shard, state->buckets.buckets_val,
+					    state->buckets.buckets_len);
+			lead->best_term = state->shard.term;
+			lead->best_home = state->shard.home;
+			lead->best_epoch = state->shard.epoch;
+		}
+	}
+	for (u_int i = 0; i < state->pins.pins_len; i++) {
+		pin_merge(homes, ctx, shard, &state->pins.pins_val[i]);
+		if (shard->role == SHARD_HOME)
+			share_pinned(homes, shard, &state->pins.pins_val[i]);
+	}
+	if (state->next) {
+		pull(homes, ctx, shard, peer, state->next);
+		return;
+	}
+	peer->answered = true;
+	if (shard->role == SHARD_RECOVERING)
+		recover_complete(homes, ctx, shard);
+}
--- /dev/null
+++ b/route.c
@@ -0,0 +1,310 @@
+#include "route.h"
+
+#include <netinet/in.h>
+
+void route_terminate(struct ctx *ctx, const struct packet *pkt)
+{
+	if (pkt->key.service.proto != IPPROTO_TCP || pkt->kind == PACKET_CANCEL) {
+		ctx->counters->drop_withdrawn++;
+		return;
+	}
+	ctx->counters->terminated++;
+	actions_add(ctx->out, (struct action){ .type = ACTION_REFUSE }, pkt->bytes, pkt->len);
+}
+
+void route_refuse(struct ctx *ctx, const struct packet *pkt)
+{
+	ctx->counters->refused++;
+	actions_add(ctx->out, (struct action){ .type = ACTION_REFUSE }, pkt->bytes, pkt->len);
+}
+
+/*
+ * Asks the group about a flow whose target answers others, when payload was sent for silence_ms
+ * without an answer seen here. A pause of the caller or the loss of a member, which may have seen
+ * the answer, begins the wait again.
+ */
+static void check_silence(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			  struct flow *flow, const struct packet *pkt)
+{
+	uint32_t silence = shard->owner->svc->silence_ms;
+	uint32_t now_ms = flowtab_ms(homes->tab, ctx->now);
+	uint32_t waited = flow_ticks_age_ms(flow->waiting, now_ms);
+	struct timespec since = ts_add_ms(ctx->now, -(int64_t)waited);
+
+	if (!silence || !flow->waiting || !pkt->payload_len ||
+	    pkt->key.service.proto != IPPROTO_TCP)
+		return;
+	if (now_ms - flow->used_ms > 2 * silence) {
+		flow->waiting = flow_ticks(now_ms);
+		return;
+	}
+	if (waited < silence || ts_cmp(target_last_answer(homes->tgs, flow->target), since) <= 0)
+		return;
+	if (members_lost_since(homes->mem, since)) {
+		flow->waiting = flow_ticks(now_ms);
+		return;
+	}
+	query_start(homes, ctx, shard, flow->hash, QUERY_SILENCE, pkt, 0);
+}
+
+static void send_opening(struct homes *homes, struct ctx *ctx, struct flow *flow)
+{
+	if (flow->flags & FLOW_COUNTED)
+		return;
+	target_opened(homes->tgs, ctx, flow->target);
+	flow->flags |= FLOW_COUNTED;
+}
+
+void route_forward(struct homes *homes, struct ctx *ctx, struct shard *shard, struct flow *flow,
+		   const struct packet *pkt)
+{
+	const struct target_config *tc = config_target_by_index(homes->cfg, flow->target, NULL);
+
+	if (!tc) {
+		ctx->counters->drop_no_target++;
+		return;
+	}
+	check_silence(homes, ctx, shard, flow, pkt);
+	flow_used(homes, ctx, flow, pkt);
+	if (pkt->kind == PACKET_OPENING) {
+		send_opening(homes, ctx, flow);
+		opening_save(homes, ctx, flow->hash, pkt);
+	}
+	ctx->counters->forwarded++;
+	actions_add(ctx->out,
+		    (struct action){
+			    .type = ACTION_FORWARD,
+			    .target = tc->ep,
+			    .deadline_ms = pkt->deadline_ms,
+		    },
+		    pkt->bytes, pkt->len);
+}
+
+void route_to_caller(struct homes *homes, struct ctx *ctx, struct flow *flow,
+		     const struct answer *ans)
+{
+	if (flow)
+		flow_answered(homes, ctx, flow, ans);
+	ctx->counters->answered++;
+	actions_add(ctx->out, (struct action){ .type = ACTION_ANSWER }, ans->bytes, ans->len);
+}
+
+void route_saved(struct homes *homes, struct ctx *ctx, struct flow *flow,
+		 const struct saved_opening *saved)
+{
+	const struct target_config *tc = config_target_by_index(homes->cfg, flow->target, NULL);
+
+	if (!tc)
+		return;
+	send_opening(homes, ctx, flow);
+	ctx->counters->forwarded++;
+	actions_add(ctx->out,
+		    (struct action){
+			    .type = ACTION_FORWARD,
+			    .target = tc->ep,
+			    .deadline_ms = saved->deadline_ms,
+		    },
+		    saved->bytes, saved->len);
+}
+
+void route_bare(struct homes *homes, struct ctx *ctx, uint32_t target, const struct packet *pkt)
+{
+	const struct target_config *tc = config_target_by_index(homes->cfg, target, NULL);
+
+	if (!tc) {
+		ctx->counters->drop_no_target++;
+		return;
+	}
+	ctx->counters->forwarded++;
+	actions_add(ctx->out,
+		    (struct action){
+			    .type = ACTION_FORWARD,
+			    .target = tc->ep,
+			    .deadline_ms = pkt->deadline_ms,
+		    },
+		    pkt->bytes, pkt->len);
+}
+
+static void route_single(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+			 uint32_t base, const struct packet *pkt)
+{
+	bool opening = pkt->kind == PACKET_OPENING;
+	struct flow *flow;
+
+	if (target_fate(homes, base) != TARGET_FINE) {
+		if (opening)
+			ctx->counters->drop_withdrawn++;
+		else
+			route_terminate(ctx, pkt);
+		return;
+	}
+	flow = flow_set(homes, ctx, shard, hash, base, opening ? pkt->opening_id : 0, FLOW_BASE);
+	if (flow)
+		route_forward(homes, ctx, shard, flow, pkt);
+	else if (opening)
+		ctx->counters->drop_quota++;
+	else
+		route_bare(homes, ctx, base, pkt);
+}
+
+/* Carries out what the home decided on a packet that this instance holds. */
+static void route_as_home(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+			  const struct packet *pkt)
+{
+	struct flow *flow = NULL;
+	bool fresh = false;
+	enum decision dec;
+
+	if (pkt->kind == PACKET_OPENING)
+		dec = decide_opening(homes, ctx, shard, hash, pkt->opening_id, &flow, &fresh);
+	else
+		dec = decide_data(homes, ctx, shard, hash, pkt->payload_len, &flow);
+	switch (dec) {
+	case DECIDE_FORWARD:
+		if (!flow)
+			route_bare(homes, ctx, shard_bucket(shard, hash)->base, pkt);
+		else if (fresh)
+			pass_with_backup(homes, ctx, shard, flow, pkt);
+		else
+			route_forward(homes, ctx, shard, flow, pkt);
+		break;
+	case DECIDE_REFUSE:
+		route_refuse(ctx, pkt);
+		break;
+	case DECIDE_TERMINATE:
+		route_terminate(ctx, pkt);
+		break;
+	case DECIDE_ASK:
+		query_start(homes, ctx, shard, hash,
+			    pkt->kind == PACKET_OPENING ? QUERY_FORGET : QUERY_FIND, pkt,
+			    pkt->opening_id);
+		break;
+	case DECIDE_DROP:
+		break;
+	}
+}
+
+/* Whether the entry alone says where a packet goes that the shard's home would have to judge. */
+static bool entry_holds(struct homes *homes, const struct ctx *ctx, const struct flow *flow,
+			const struct packet *pkt)
+{
+	if (pkt->kind == PACKET_OPENING)
+		return flow->opening_id == pkt->opening_id &&
+		       (flow_trusted(flow) || (flow->flags & FLOW_HELD));
+	return flow_trusted(flow) &&
+	       ((flow->flags & FLOW_HELD) ||
+		flowtab_ms(homes->tab, ctx->now) - flow->used_ms <= REVALIDATE_MS);
+}
+
+void route_packet(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+		  const struct packet *pkt)
+{
+	struct bucket *bucket = shard_bucket(shard, hash);
+	struct flow *flow = flowtab_find(homes->tab, hash);
+	bool single = shard_single(homes, ctx, shard, bucket);
+
+	if (flow && single && flow->target != bucket->base) {
+		/* All live flows of the bucket are at its base: a leftover of an ended flow. */
+		flow_remove(homes, ctx, flow);
+		flow = NULL;
+	}
+	if (single) {
+		route_single(homes, ctx, shard, hash, bucket->base, pkt);
+		return;
+	}
+	if (flow && pkt->kind != PACKET_OPENING && flow_trusted(flow) &&
+	    target_fate(homes, flow->target) != TARGET_FINE) {
+		route_terminate(ctx, pkt);
+		return;
+	}
+	if (shard_acting(homes, ctx, shard)) {
+		route_as_home(homes, ctx, shard, hash, pkt);
+		return;
+	}
+	if (flow && entry_holds(homes, ctx, flow, pkt) &&
+	    target_fate(homes, flow->target) == TARGET_FINE) {
+		route_forward(homes, ctx, shard, flow, pkt);
+		return;
+	}
+	if (shard_home(homes, ctx, shard) != MEMBER_NONE)
+		pass_to_home(homes, ctx, shard, hash, pkt);
+	else if (pkt->kind != PACKET_OPENING)
+		query_start(homes, ctx, shard, hash, QUERY_FIND, pkt, 0);
+	else
+		ctx->counters->drop_uncertain++;
+}
+
+static void answer_single(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+			  uint32_t target, const struct answer *ans)
+{
+	struct bucket *bucket = shard_bucket(shard, hash);
+	struct flow *flow;
+
+	if (target != bucket->base) {
+		ctx->counters->drop_crossed++;
+		return;
+	}
+	if (ans->kind == ANSWER_ACCEPTED) {
+		flow = flow_set(homes, ctx, shard, hash, target, ans->opening_id,
+				FLOW_BASE | FLOW_ESTABLISHED);
+		if (flow)
+			route_to_caller(homes, ctx, flow, ans);
+		else
+			ctx->counters->drop_quota++;
+		return;
+	}
+	flow = flowtab_find(homes->tab, hash);
+	route_to_caller(homes, ctx, flow && flow->target == target ? flow : NULL, ans);
+}
+
+static void answer_as_home(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+			   uint32_t target, const struct answer *ans)
+{
+	struct flow *flow = NULL;
+
+	if (decide_answer(homes, ctx, shard, hash, target, ans->kind, ans->opening_id, &flow) ==
+	    DECIDE_FORWARD)
+		route_to_caller(homes, ctx, flow, ans);
+}
+
+void route_answer(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+		  uint32_t target, const struct answer *ans)
+{
+	struct bucket *bucket = shard_bucket(shard, hash);
+	struct flow *flow = flowtab_find(homes->tab, hash);
+
+	target_answered(homes->tgs, ctx, target);
+	if (target_fate(homes, target) != TARGET_FINE) {
+		ctx->counters->drop_withdrawn++;
+		return;
+	}
+	if (ans->kind == ANSWER_ACCEPTED)
+		target_accepted(homes->tgs, ctx, target);
+	if (ans->kind == ANSWER_REFUSED) {
+		ctx->counters->shed++;
+		target_shed(homes->tgs, ctx, target);
+		/* A refusal after the flow was opened would make a claim that may be false. */
+		if (flow && flow_trusted(flow)) {
+			ctx->counters->drop_crossed++;
+			return;
+		}
+	} else if (shard_single(homes, ctx, shard, bucket)) {
+		answer_single(homes, ctx, shard, hash, target, ans);
+		return;
+	}
+	if (shard_acting(homes, ctx, shard)) {
+		answer_as_home(homes, ctx, shard, hash, target, ans);
+		return;
+	}
+	if (flow && flow_trusted(flow) && ans->kind != ANSWER_REFUSED &&
+	    ((flow->flags & FLOW_HELD) ||
+	     flowtab_ms(homes->tab, ctx->now) - flow->used_ms <= REVALIDATE_MS) &&
+	    (ans->kind != ANSWER_ACCEPTED || ans->opening_id == flow->opening_id)) {
+		if (flow->target == target)
+			route_to_caller(homes, ctx, flow, ans);
+		else
+			ctx->counters->drop_crossed++;
+		return;
+	}
+	note_to_home(homes, ctx, shard, hash, target, ans);
+}
