--- a/recover.c
+++ b/recover.c
@@ -106,7 +106,7 @@
 	drop_peers(homes, ctx, shard);
 	for (guint i = 0; i < homes->peers->len; i++) {
 		uint32_t id = g_array_index(homes->peers, uint32_t, i);
-		bool leaving = members_state(homes->mem, id) == MEMBER_LEAVING;
+		enum member_state state = members_state(homes->mem, id);
 		bool silent = !members_may_route(homes->mem, id, ctx->now);
 		struct shard_peer *peer = lead_peer(shard, id);
 
@@ -114,11 +114,16 @@
 			g_array_append_val(lead->peers, ((struct shard_peer){ .id = id }));
 			peer = &g_array_index(lead->peers, struct shard_peer, lead->peers->len - 1);
 		}
-		if (leaving != peer->leaving) {
-			peer->leaving = leaving;
+		if (state != peer->state && state == MEMBER_JOINING) {
+			/* A new process: what the former one knew, and its copies of pins, are gone. */
+			peer->answered = false;
+			peer->acked = 0;
+		}
+		if (state != peer->state) {
 			lead->copying = true;
 			lead->copy_cursor = 0;
 		}
+		peer->state = state;
 		if (silent && !peer->silent)
 			peer->silent_since = ctx->now;
 		peer->silent = silent;
--- a/shard.h
+++ b/shard.h
@@ -84,7 +84,7 @@
 	uint32_t id;
 	uint32_t acked; /* newest epoch of this term that it acknowledged */
 	bool answered;	/* has told all pins and cached flows that it had */
-	bool leaving;
+	enum member_state state;
 	uint64_t pull_call; /* outstanding calls, 0 for none */
 	uint64_t announce_call;
 	bool silent; /* its lease is over since silent_since */
--- /dev/null
+++ b/t/test-fleet.c
@@ -0,0 +1,395 @@
+/*
+ * Random sequences of kills, pauses, message loss and changes of targets over a small fleet, with
+ * callers whose packets are sprayed over the instances. Guards against payload that reaches a
+ * second target or one that never accepted the flow, two targets that are both heard, refusals of
+ * requests that were run, and flows that break in a change. FLEET_SEED, FLEET_RUNS and
+ * FLEET_TRACE=1 repeat a failing sequence.
+ */
+#include <stdlib.h>
+
+#include "fleet.h"
+
+#define SLOTS	  40
+#define FLOWS_MAX 20000
+#define STEP_MS	  10
+
+enum phase { IDLE, OPENING, OPEN };
+
+struct sim_flow {
+	uint32_t payload_target; /* TARGET_NONE before any payload */
+	uint32_t heard_target;	 /* whose acceptance reached the caller */
+	uint32_t conn[TARGETS_MAX]; /* opening id that the target accepted */
+};
+
+struct slot {
+	enum phase phase;
+	uint32_t flow;
+	uint32_t opening_id;
+	int64_t next_at;
+	int64_t waiting_since; /* first unanswered packet, 0 for none */
+	int64_t end_at;
+	uint32_t tries;
+};
+
+struct late_answer {
+	int64_t at;
+	uint32_t target;
+	enum answer_kind kind;
+	struct sim_bytes sim;
+};
+
+struct world {
+	struct fleet fleet;
+	struct sim_flow *flows;
+	struct slot slots[SLOTS];
+	uint32_t next_flow;
+	GArray *answers; /* struct late_answer */
+	uint32_t shed_permille;
+	uint32_t opened, gave_up, broken, refused, stuck;
+	uint64_t seed;
+	bool reuse_keys;
+	int64_t down_since; /* an instance is down or paused */
+	uint32_t down;
+	bool trace;
+};
+
+static void trace(const struct world *w, const char *what, uint32_t a, uint32_t b, uint32_t c)
+{
+	if (w->trace)
+		printf("# %lld %s %u %u %u\n", (long long)w->fleet.now_ms, what, a, b, c);
+}
+
+static void violation(const struct world *w, const char *what, const struct sim_bytes *sim,
+		      uint32_t was, uint32_t is)
+{
+	uint64_t hash = fleet_hash(tcp_service, sim->flow);
+
+	g_error("seed %llu at %lld ms: %s (flow %u, shard %u, bucket %u: target %u, then %u)",
+		(unsigned long long)w->seed, (long long)w->fleet.now_ms, what, sim->flow,
+		shard_of(hash), bucket_of(hash), was, is);
+}
+
+static void answer_later(struct world *w, uint32_t target, enum answer_kind kind,
+			 const struct sim_bytes *sim)
+{
+	struct late_answer ans = {
+		.at = w->fleet.now_ms + 1 + fleet_random(&w->fleet, 30),
+		.target = target,
+		.kind = kind,
+		.sim = *sim,
+	};
+
+	ans.sim.target = target;
+	ans.sim.answer_kind = kind;
+	g_array_append_val(w->answers, ans);
+}
+
+static void at_target(struct world *w, const struct node *node, uint32_t target,
+		      const struct sim_bytes *sim)
+{
+	struct sim_flow *flow = &w->flows[sim->flow];
+
+	trace(w, sim->kind == PACKET_OPENING ? "syn node/flow/target" : "data node/flow/target",
+	      node->id, sim->flow, target);
+	if (target >= 4)
+		violation(w, "packet for a target of another organisation", sim, 0, target);
+	if (sim->kind == PACKET_OPENING) {
+		if (flow->conn[target] != sim->opening_id &&
+		    fleet_random(&w->fleet, 1000) < w->shed_permille) {
+			answer_later(w, target, ANSWER_REFUSED, sim);
+			return;
+		}
+		flow->conn[target] = sim->opening_id;
+		answer_later(w, target, ANSWER_ACCEPTED, sim);
+		return;
+	}
+	if (flow->conn[target] != sim->opening_id)
+		violation(w, "payload for a target that did not accept the flow", sim,
+			  flow->heard_target, target);
+	if (flow->payload_target != TARGET_NONE && flow->payload_target != target)
+		violation(w, "payload for a second target", sim, flow->payload_target, target);
+	flow->payload_target = target;
+	answer_later(w, target, sim->kind == PACKET_CLOSE ? ANSWER_CLOSE : ANSWER_DATA, sim);
+}
+
+static struct slot *slot_of(struct world *w, const struct sim_bytes *sim)
+{
+	for (size_t i = 0; i < SLOTS; i++)
+		if (w->slots[i].phase != IDLE && w->slots[i].flow == sim->flow &&
+		    w->slots[i].opening_id == sim->opening_id)
+			return &w->slots[i];
+	return NULL;
+}
+
+static void end_flow(struct world *w, struct slot *slot)
+{
+	slot->phase = IDLE;
+	slot->next_at = w->fleet.now_ms + 200 + fleet_random(&w->fleet, 2000);
+}
+
+static void at_caller(struct world *w, const struct sim_bytes *sim, bool refuse)
+{
+	struct slot *slot = slot_of(w, sim);
+	struct sim_flow *flow = &w->flows[sim->flow];
+
+	if (!slot)
+		return;
+	if (!refuse && sim->answer_kind == ANSWER_REFUSED) {
+		/* A target's own refusal; one that comes late means nothing to an open flow. */
+		if (slot->phase == OPENING) {
+			w->refused++;
+			end_flow(w, slot);
+		}
+		return;
+	}
+	if (refuse) {
+		trace(w, "reset flow", sim->flow, 0, 0);
+		if (sim->kind == PACKET_OPENING && flow->payload_target != TARGET_NONE)
+			violation(w, "refusal of a request that was run", sim,
+				  flow->payload_target, 0);
+		if (slot->phase == OPEN)
+			w->broken++;
+		w->refused++;
+		end_flow(w, slot);
+		return;
+	}
+	slot->waiting_since = 0;
+	if (slot->phase == OPEN) {
+		if (flow->heard_target != sim->target)
+			violation(w, "answers of two targets", sim, flow->heard_target, sim->target);
+		return;
+	}
+	trace(w, "opened flow/target", sim->flow, sim->target, 0);
+	slot->phase = OPEN;
+	slot->next_at = w->fleet.now_ms + 1;
+	slot->end_at = w->fleet.now_ms + 1000 + fleet_random(&w->fleet, 40000);
+	flow->heard_target = sim->target;
+	w->opened++;
+}
+
+static void on_packet(struct fleet *fleet, struct node *node, const struct action *act,
+		      const struct sim_bytes *sim)
+{
+	struct world *w = fleet->arg;
+
+	if (act->type == ACTION_FORWARD)
+		at_target(w, node, fleet_target(act), sim);
+	else
+		at_caller(w, sim, act->type == ACTION_REFUSE);
+}
+
+static void send_packet(struct world *w, struct slot *slot, enum packet_kind kind)
+{
+	struct sim_bytes sim = {
+		.flow = slot->flow,
+		.kind = kind,
+		.opening_id = slot->opening_id,
+		.payload_len = kind == PACKET_DATA ? 100 : 0,
+	};
+
+	if (!slot->waiting_since)
+		slot->waiting_since = w->fleet.now_ms;
+	fleet_packet(&w->fleet, 1 + fleet_random(&w->fleet, w->fleet.nr), tcp_service, &sim);
+}
+
+static void start_flow(struct world *w, struct slot *slot)
+{
+	if (!w->reuse_keys || !slot->flow || fleet_random(&w->fleet, 2)) {
+		g_assert_cmpuint(w->next_flow, <, FLOWS_MAX);
+		slot->flow = w->next_flow++;
+	}
+	w->flows[slot->flow].payload_target = TARGET_NONE;
+	w->flows[slot->flow].heard_target = TARGET_NONE;
+	slot->phase = OPENING;
+	slot->opening_id = 1 + fleet_random(&w->fleet, 1u << 30);
+	slot->tries = 0;
+	slot->waiting_since = 0;
+}
+
+static void run_caller(struct world *w, struct slot *slot)
+{
+	int64_t now = w->fleet.now_ms;
+
+	if (now < slot->next_at)
+		return;
+	switch (slot->phase) {
+	case IDLE:
+		start_flow(w, slot);
+		send_packet(w, slot, PACKET_OPENING);
+		slot->next_at = now + 1000;
+		break;
+	case OPENING:
+		if (++slot->tries > 5) {
+			w->gave_up++;
+			end_flow(w, slot);
+			break;
+		}
+		send_packet(w, slot, PACKET_OPENING);
+		slot->next_at = now + (1000 << slot->tries);
+		break;
+	case OPEN:
+		if (slot->waiting_since && now - slot->waiting_since > 30000) {
+			w->stuck++;
+			trace(w, "stuck flow", slot->flow, 0, 0);
+			end_flow(w, slot);
+			break;
+		}
+		if (!slot->waiting_since && now >= slot->end_at) {
+			send_packet(w, slot, PACKET_CLOSE);
+			end_flow(w, slot);
+			break;
+		}
+		send_packet(w, slot, PACKET_DATA);
+		slot->next_at = now + 100 + fleet_random(&w->fleet, 600);
+		break;
+	}
+}
+
+static void world_step(struct world *w)
+{
+	fleet_run(&w->fleet, STEP_MS);
+	for (guint i = 0; i < w->answers->len;) {
+		struct late_answer ans = g_array_index(w->answers, struct late_answer, i);
+
+		if (ans.at > w->fleet.now_ms) {
+			i++;
+			continue;
+		}
+		g_array_remove_index_fast(w->answers, i);
+		fleet_answer(&w->fleet, 1 + fleet_random(&w->fleet, w->fleet.nr), tcp_service,
+			     ans.target, ans.kind, &ans.sim);
+	}
+	for (size_t i = 0; i < SLOTS; i++)
+		run_caller(w, &w->slots[i]);
+}
+
+/* One instance at a time is down or paused, for long enough for a recovery and a copy of pins. */
+static void break_node(struct world *w)
+{
+	uint32_t id = 1 + fleet_random(&w->fleet, w->fleet.nr);
+
+	if (w->down)
+		return;
+	w->down = id;
+	w->down_since = w->fleet.now_ms;
+	if (fleet_random(&w->fleet, 2)) {
+		trace(w, "pause", id, 0, 0);
+		w->fleet.nodes[id].paused = true;
+	} else {
+		trace(w, "kill", id, 0, 0);
+		fleet_kill(&w->fleet, id);
+	}
+}
+
+static void mend_node(struct world *w)
+{
+	struct node *node = &w->fleet.nodes[w->down];
+	int64_t down_ms = w->fleet.now_ms - w->down_since;
+
+	if (!w->down)
+		return;
+	if (node->paused && down_ms > 200 + (int64_t)fleet_random(&w->fleet, 20000)) {
+		trace(w, "wake", node->id, 0, 0);
+		node->paused = false;
+	}
+	if (!node->up && down_ms > 8000) {
+		w->fleet.listed_gone[node->id] = true;
+		if (fleet_random(&w->fleet, 300) == 0) {
+			trace(w, "restart", node->id, 0, 0);
+			fleet_start_node(&w->fleet, node->id, MEMBER_JOINING);
+		}
+	}
+	if (node->up && !node->paused && down_ms > 40000)
+		w->down = 0;
+}
+
+static void random_event(struct world *w)
+{
+	struct fleet *fleet = &w->fleet;
+	uint32_t target = fleet_random(fleet, 4);
+
+	switch (fleet_random(fleet, 4)) {
+	case 0:
+		break_node(w);
+		break;
+	case 1:
+		/* Draining: no new flows. At least one target stays. */
+		if (!fleet->eligible[target] || target)
+			fleet_eligible(fleet, target, !fleet->eligible[target]);
+		trace(w, "eligible", target, fleet->eligible[target], 0);
+		break;
+	case 2:
+		fleet->full[target] = target && !fleet->full[target];
+		trace(w, "full", target, fleet->full[target], 0);
+		break;
+	case 3:
+		w->shed_permille = fleet_random(fleet, 3) ? 0 : 300;
+		fleet->loss_permille = fleet_random(fleet, 3) ? 0 : 30;
+		fleet->dup_permille = fleet_random(fleet, 3) ? 0 : 50;
+		break;
+	}
+}
+
+static void run_world(uint64_t seed, uint32_t nr, int64_t ms, bool reuse_keys)
+{
+	struct world w = { .seed = seed, .reuse_keys = reuse_keys };
+	int64_t start, calm;
+
+	fleet_init(&w.fleet, nr, seed);
+	w.fleet.on_packet = on_packet;
+	w.fleet.arg = &w;
+	w.fleet.retries = 1u << 20;
+	w.trace = g_getenv("FLEET_TRACE") != NULL;
+	w.flows = g_new0(struct sim_flow, FLOWS_MAX);
+	w.next_flow = 1;
+	w.answers = g_array_new(FALSE, FALSE, sizeof(struct late_answer));
+	fleet_run(&w.fleet, 1500);
+	start = w.fleet.now_ms;
+	for (size_t i = 0; i < SLOTS; i++)
+		w.slots[i].next_at = start + fleet_random(&w.fleet, 3000);
+	calm = start + ms - 45000;
+	while (w.fleet.now_ms < start + ms) {
+		world_step(&w);
+		mend_node(&w);
+		if (w.fleet.now_ms < calm && fleet_random(&w.fleet, 150) == 0)
+			random_event(&w);
+		if (w.fleet.now_ms >= calm && w.fleet.now_ms < calm + STEP_MS) {
+			w.shed_permille = w.fleet.loss_permille = w.fleet.dup_permille = 0;
+			for (uint32_t t = 0; t < 4; t++)
+				w.fleet.full[t] = false;
+		}
+	}
+	g_test_message("seed %llu: %u opened, %u openings given up, %u resets, %u broken, %u stuck",
+		       (unsigned long long)seed, w.opened, w.gave_up, w.refused, w.broken, w.stuck);
+	if (w.broken || w.stuck)
+		g_error("seed %llu: %u flows broken, %u stuck", (unsigned long long)seed, w.broken,
+			w.stuck);
+	g_assert_cmpuint(w.opened, >, SLOTS);
+	fleet_release(&w.fleet);
+	g_array_unref(w.answers);
+	g_free(w.flows);
+}
+
+static uint64_t env_number(const char *name, uint64_t otherwise)
+{
+	const char *value = g_getenv(name);
+
+	return value ? strtoull(value, NULL, 10) : otherwise;
+}
+
+static void test_random(void)
+{
+	uint64_t first = env_number("FLEET_SEED", 1);
+	uint64_t runs = env_number("FLEET_RUNS", 6);
+
+	for (uint64_t seed = first; seed < first + runs; seed++)
+		run_world(seed, 3 + (uint32_t)(seed % 4), 150000, false);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	g_test_add_func("/fleet/random", test_random);
+	return g_test_run();
+}
