--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 LIB_SRCS = $(filter-out $(MAIN_SRC),$(wildcard *.c))
 BUILTIN_SRCS = $(wildcard builtin/*.c)
 TEST_SRCS = $(wildcard t/test-*.c)
+BENCH_SRCS = $(wildcard t/bench-*.c)
 HELPER_SRCS = $(wildcard t/helper/*.c)
 
 LIB_OBJS = $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GEN_SRCS:%.c=$(BUILD)/%.o)
@@ -24,7 +25,7 @@
 HELPER_OBJS = $(HELPER_SRCS:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRCS:t/%.c=$(BUILD)/t/%)
 
-OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(HELPER_SRCS)
+OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(BENCH_SRCS) $(HELPER_SRCS)
 OUR_FILES = $(OUR_SRCS) $(wildcard *.h builtin/*.h t/*.h t/helper/*.h)
 
 all: jujubestage $(if $(HELPER_SRCS),$(BUILD)/standin)
@@ -42,6 +43,9 @@
 $(BUILD)/t/test-%: $(BUILD)/t/test-%.o $(BUILD)/libjujubestage.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+$(BUILD)/t/bench-%: $(BUILD)/t/bench-%.o $(BUILD)/libjujubestage.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/proto/%.o: proto/%.c
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) $(GEN_WARNINGS) -c -o $@ $<
@@ -60,6 +64,10 @@
 
 tests: $(TESTS)
 
+# Measurements; they print tables and check nothing.
+bench: $(BENCH_SRCS:t/%.c=$(BUILD)/t/%)
+	@for b in $^; do $$b || exit 1; done
+
 demo: deps
 	@$(MAKE) --no-print-directory all
 	@scripts/demo
@@ -93,5 +101,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps test tests demo format check-format lint generate check-generated clean
+.PHONY: all deps test tests bench demo format check-format lint generate check-generated clean
 .SECONDARY:
--- /dev/null
+++ b/heartbeat.c
@@ -0,0 +1,452 @@
+/*
+ * Heartbeats of the member view: what they carry, how often and to whom they go, and what a
+ * received one changes.
+ */
+#include <string.h>
+
+#include "member-internal.h"
+
+/* A heartbeat stays inside one unfragmented datagram. */
+#define HEARTBEAT_MAX	  1200
+#define HEARTBEAT_FIXED	  52 /* XDR body of a heartbeat without entries */
+#define VECTOR_ENTRY	  3  /* typical; 4 or more where numbers are far apart */
+#define VECTOR_MAX	  800
+#define FULL_ENTRY	  12
+#define SUSPICION_ENTRY	  8
+#define NEWS_ENTRY	  24
+#define NEWS_MAX	  16
+#define NEWS_TYPICAL	  4
+#define SUSPICIONS_MAX	  16
+#define CONTACTS_MAX	  4
+#define FULL_MAX	  60  /* full entries in an answer to a member that asked for them */
+#define CHANGES_MAX	  8   /* full entries of changed members, so that counters stay frequent */
+#define ANSWER_SPACING_MS 500 /* between heartbeats out of turn */
+#define DEAD_TRY_PERMILLE 100 /* share of heartbeats that try a member held for dead */
+
+/* Above this age, 8 bits of a counter do not tell its direction. */
+#define VECTOR_MAX_AGE_MS (30 * MSEC_PER_SEC)
+
+#define INCARNATION_LOW 0x3f
+
+struct draft {
+	peer_heartbeat hb;
+	size_t bytes;
+	uint8_t vector[VECTOR_MAX];
+	peer_member members[PEER_MAX_MEMBERS];
+	peer_contact contacts[CONTACTS_MAX];
+	peer_suspicion suspicions[SUSPICIONS_MAX];
+	peer_target_news news[NEWS_MAX];
+};
+
+uint32_t heartbeat_bytes(uint32_t size)
+{
+	return DATAGRAM_OVERHEAD + HEARTBEAT_FIXED + MIN(VECTOR_ENTRY * size, VECTOR_MAX) +
+	       NEWS_TYPICAL * NEWS_ENTRY;
+}
+
+/* Heartbeats of one turn: enough of them to use the budget at the shortest interval. */
+static uint32_t fanout(uint32_t size, double affordable)
+{
+	uint32_t want = (uint32_t)(affordable * HEARTBEAT_MS / MSEC_PER_SEC) + 1;
+
+	return MIN(MIN(want, HEARTBEAT_FANOUT), MAX(size, 2) - 1);
+}
+
+double heartbeat_rate(uint32_t size)
+{
+	double affordable = (double)HEARTBEAT_BYTES_PER_S / heartbeat_bytes(size);
+	double most = (double)fanout(size, affordable) * MSEC_PER_SEC / HEARTBEAT_MS;
+
+	/* A vector that travels in parts renews an entry only every so many heartbeats. */
+	if (VECTOR_ENTRY * size > VECTOR_MAX)
+		affordable = affordable * VECTOR_MAX / (VECTOR_ENTRY * size);
+	return MIN(affordable, most);
+}
+
+static size_t put_entry(uint8_t *out, uint32_t delta, const struct member *m)
+{
+	size_t len = 0;
+
+	while (delta >= 0x80) {
+		out[len++] = (uint8_t)(delta | 0x80);
+		delta >>= 7;
+	}
+	out[len++] = (uint8_t)delta;
+	out[len++] = (uint8_t)(m->claimed << 6 | (m->incarnation & INCARNATION_LOW));
+	out[len++] = (uint8_t)m->counter;
+	return len;
+}
+
+static bool in_vector(const struct members *mem, const struct member *m, struct timespec now)
+{
+	return m == mem->self || (m->heard && m->state != MEMBER_DEAD &&
+				  ts_diff_ms(now, m->heard_at) < VECTOR_MAX_AGE_MS / 2);
+}
+
+/* The members from the rotation's number on; one that does not fit starts the next part. */
+static void fill_vector(struct members *mem, struct ctx *ctx, struct draft *dr)
+{
+	uint32_t last = 0;
+	size_t len = 0;
+	bool whole = true;
+
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		if (m->id < mem->rotation || !in_vector(mem, m, ctx->now))
+			continue;
+		if (len + 8 > VECTOR_MAX) {
+			mem->rotation = m->id;
+			whole = false;
+			break;
+		}
+		len += put_entry(dr->vector + len, m->id - last, m);
+		last = m->id;
+	}
+	if (whole)
+		mem->rotation = 0;
+	dr->hb.vector.vector_len = (u_int)len;
+	dr->hb.vector.vector_val = (char *)dr->vector;
+	dr->bytes += len;
+}
+
+static void add_full(struct draft *dr, const struct member *m)
+{
+	dr->members[dr->hb.members.members_len++] = (peer_member){
+		.instance = m->id,
+		.incarnation = m->incarnation,
+		.counter_state = m->counter << 4 | m->claimed,
+	};
+	dr->bytes += FULL_ENTRY;
+}
+
+static void add_contact(struct draft *dr, const struct member *m)
+{
+	size_t bytes = 20 + (m->dc ? strlen(m->dc) : 0);
+
+	if (!m->ep.port || !m->dc || dr->hb.contacts.contacts_len >= CONTACTS_MAX ||
+	    dr->bytes + bytes > HEARTBEAT_MAX)
+		return;
+	dr->contacts[dr->hb.contacts.contacts_len++] = (peer_contact){
+		.instance = m->id,
+		.ip = m->ep.ip,
+		.port = m->ep.port,
+		.data_centre = (char *)m->dc,
+	};
+	dr->bytes += bytes;
+}
+
+/* All members by rotation for one that asked; otherwise those that changed lately. */
+static void fill_members(struct members *mem, struct ctx *ctx, struct draft *dr, bool full)
+{
+	uint32_t n = mem->list->len;
+	uint32_t most = full ? FULL_MAX : CHANGES_MAX;
+	uint32_t start;
+
+	g_assert(n > 0);
+	start = random_below(ctx->random, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct member *m = g_ptr_array_index(mem->list, (start + i) % n);
+
+		if (dr->hb.members.members_len >= most || dr->bytes + FULL_ENTRY > HEARTBEAT_MAX)
+			break;
+		if (!m->heard || m == mem->self)
+			continue;
+		if (full && m->state != MEMBER_DEAD) {
+			add_full(dr, m);
+		} else if (m->change_sends &&
+			   (m->state != MEMBER_DEAD || m->claimed == PEER_MEMBER_LEFT)) {
+			m->change_sends--;
+			add_full(dr, m);
+			add_contact(dr, m);
+		}
+	}
+	if (mem->self->change_sends) {
+		mem->self->change_sends--;
+		add_contact(dr, mem->self);
+	}
+	/* Contacts of the others follow by rotation, for a group that the list does not tell. */
+	for (uint32_t i = 0; full && i < CONTACTS_MAX; i++)
+		add_contact(dr, g_ptr_array_index(mem->list, mem->contact_rotation++ % n));
+}
+
+static void fill_suspicions(struct members *mem, struct ctx *ctx, struct draft *dr)
+{
+	uint32_t n = mem->list->len;
+	uint32_t start = random_below(ctx->random, n);
+
+	if (ts_cmp(ctx->now, mem->grace_end) < 0)
+		return;
+	for (uint32_t i = 0; i < n; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, (start + i) % n);
+
+		if (dr->hb.suspicions.suspicions_len >= SUSPICIONS_MAX ||
+		    dr->bytes + SUSPICION_ENTRY > HEARTBEAT_MAX)
+			break;
+		/* Told for some time after the death, so that slower observers agree. */
+		if (!member_suspicious(mem, m, ctx->now) ||
+		    ts_diff_ms(ctx->now, m->heard_at) > 8 * (int64_t)members_lease_ms(mem))
+			continue;
+		dr->suspicions[dr->hb.suspicions.suspicions_len++] = (peer_suspicion){
+			.instance = m->id,
+			.incarnation = m->incarnation,
+		};
+		dr->bytes += SUSPICION_ENTRY;
+	}
+}
+
+static void fill_news(struct members *mem, struct ctx *ctx, struct draft *dr)
+{
+	size_t room;
+
+	if (!mem->news || dr->bytes >= HEARTBEAT_MAX)
+		return;
+	room = MIN((HEARTBEAT_MAX - dr->bytes) / NEWS_ENTRY, NEWS_MAX);
+	if (!room)
+		return;
+	dr->hb.news.news_len = (u_int)mem->news->fill(mem->news, ctx, dr->news, room);
+	dr->hb.news.news_val = dr->news;
+	dr->bytes += dr->hb.news.news_len * NEWS_ENTRY;
+}
+
+static void make_heartbeat(struct members *mem, struct ctx *ctx, struct draft *dr, bool full)
+{
+	struct member *self = mem->self;
+
+	memset(&dr->hb, 0, sizeof(dr->hb));
+	dr->bytes = DATAGRAM_OVERHEAD + HEARTBEAT_FIXED;
+	dr->hb.instance = self->id;
+	dr->hb.incarnation = self->incarnation;
+	dr->hb.counter_state =
+		self->counter << 4 | self->claimed | (mem->wants_full ? PEER_MEMBER_WANTS_FULL : 0);
+	dr->hb.group = mem->group_hash;
+	dr->hb.config_digest = mem->digest;
+	dr->hb.members.members_val = dr->members;
+	dr->hb.contacts.contacts_val = dr->contacts;
+	dr->hb.suspicions.suspicions_val = dr->suspicions;
+	if (full)
+		fill_members(mem, ctx, dr, true);
+	else
+		fill_vector(mem, ctx, dr);
+	if (!full)
+		fill_members(mem, ctx, dr, false);
+	fill_suspicions(mem, ctx, dr);
+	fill_news(mem, ctx, dr);
+}
+
+static void send_heartbeat(struct ctx *ctx, uint32_t dst, const peer_heartbeat *hb)
+{
+	peer_msg msg = { .type = PEER_HEARTBEAT };
+
+	msg.peer_msg_u.heartbeat = *hb;
+	actions_add_peer(ctx->out, (struct action){ .type = ACTION_PEER_SEND, .dst = dst }, &msg);
+}
+
+static void next_counter(struct members *mem, struct ctx *ctx)
+{
+	struct member *self = mem->self;
+
+	self->counter = (self->counter + 1) & COUNTER_MASK;
+	self->heard_at = ctx->now;
+	mem->sent_at[self->counter % SENT_RING] = ctx->now;
+}
+
+/* Chooses up to @want random members that can be reached; returns their number. */
+static uint32_t choose_members(struct members *mem, struct ctx *ctx, uint32_t want, uint32_t *out)
+{
+	GArray *pool = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GArray *dead = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	uint32_t nr = 0;
+
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		if (m == mem->self || member_has_left(m) || !m->ep.port)
+			continue;
+		g_array_append_val(m->state == MEMBER_DEAD ? dead : pool, m->id);
+	}
+	/* A dead one is tried now and then, so that both sides of a healed partition meet. */
+	if (dead->len && (!pool->len || random_below(ctx->random, 1000) < DEAD_TRY_PERMILLE))
+		out[nr++] = g_array_index(dead, uint32_t, mem->probe_rotation++ % dead->len);
+	while (nr < want && pool->len) {
+		uint32_t at = random_below(ctx->random, pool->len);
+
+		out[nr++] = g_array_index(pool, uint32_t, at);
+		g_array_remove_index_fast(pool, at);
+	}
+	g_array_unref(pool);
+	g_array_unref(dead);
+	return nr;
+}
+
+void heartbeat_send_due(struct members *mem, struct ctx *ctx)
+{
+	double affordable = (double)HEARTBEAT_BYTES_PER_S / heartbeat_bytes(mem->size);
+	uint32_t want = fanout(mem->size, affordable);
+	uint32_t dst[HEARTBEAT_FANOUT];
+	uint32_t nr, wait;
+	size_t bytes = 0;
+
+	if (ts_cmp(ctx->now, mem->next_send) < 0)
+		return;
+	next_counter(mem, ctx);
+	nr = choose_members(mem, ctx, want, dst);
+	for (uint32_t i = 0; i < nr; i++) {
+		struct draft dr;
+
+		make_heartbeat(mem, ctx, &dr, false);
+		send_heartbeat(ctx, dst[i], &dr.hb);
+		bytes += dr.bytes;
+	}
+	mem->wants_full = false;
+	wait = MAX(HEARTBEAT_MS, (uint32_t)(bytes * MSEC_PER_SEC / HEARTBEAT_BYTES_PER_S));
+	/* A tenth of jitter keeps members that started together apart. */
+	wait += random_below(ctx->random, wait / 10 + 1);
+	mem->next_send = ts_add_ms(ctx->now, wait);
+}
+
+void members_goodbye(struct members *mem, struct ctx *ctx)
+{
+	uint32_t dst[HEARTBEAT_FANOUT];
+	uint32_t nr = choose_members(mem, ctx, HEARTBEAT_FANOUT, dst);
+	struct draft dr;
+
+	mem->self->claimed = PEER_MEMBER_LEFT;
+	next_counter(mem, ctx);
+	make_heartbeat(mem, ctx, &dr, false);
+	for (uint32_t i = 0; i < nr; i++)
+		send_heartbeat(ctx, dst[i], &dr.hb);
+	members_refresh(mem, ctx->now);
+}
+
+static void take_vector(struct members *mem, struct ctx *ctx, const peer_heartbeat *hb)
+{
+	const uint8_t *in = (const uint8_t *)hb->vector.vector_val;
+	size_t len = hb->vector.vector_len, at = 0;
+	uint32_t id = 0;
+
+	while (at < len) {
+		uint32_t delta = 0, shift = 0;
+		struct member *m;
+		uint8_t state, low;
+
+		while (at < len && in[at] & 0x80 && shift < 28) {
+			delta |= (uint32_t)(in[at++] & 0x7f) << shift;
+			shift += 7;
+		}
+		if (at + 3 > len)
+			return;
+		delta |= (uint32_t)in[at++] << shift;
+		state = in[at++];
+		low = in[at++];
+		id += delta;
+		m = member_find(mem, id);
+		if (m == mem->self) {
+			if ((m->incarnation & INCARNATION_LOW) == (state & INCARNATION_LOW))
+				members_echo(mem,
+					     m->counter - (uint8_t)((uint8_t)m->counter - low));
+			continue;
+		}
+		if (!m || !m->heard ||
+		    (m->incarnation & INCARNATION_LOW) != (state & INCARNATION_LOW) ||
+		    ts_diff_ms(ctx->now, m->heard_at) > VECTOR_MAX_AGE_MS) {
+			/* Only its own heartbeat or a full entry tells enough. */
+			mem->wants_full = true;
+			continue;
+		}
+		member_advance(mem, m, m->incarnation,
+			       (m->counter + (uint32_t)(int8_t)(low - (uint8_t)m->counter)) &
+				       COUNTER_MASK,
+			       state >> 6, ctx->now, false);
+	}
+}
+
+static void take_members(struct members *mem, struct ctx *ctx, const peer_heartbeat *hb)
+{
+	for (u_int i = 0; i < hb->members.members_len; i++) {
+		const peer_member *pm = &hb->members.members_val[i];
+
+		if (pm->instance == mem->self->id) {
+			if (pm->incarnation == mem->self->incarnation)
+				members_echo(mem, pm->counter_state >> 4);
+			continue;
+		}
+		if (pm->instance == MEMBER_NONE || (pm->counter_state & 0xf) > PEER_MEMBER_LEFT)
+			continue;
+		member_advance(mem, member_get(mem, pm->instance, ctx->now), pm->incarnation,
+			       pm->counter_state >> 4, pm->counter_state & 0xf, ctx->now, false);
+	}
+}
+
+static void take_contacts(struct members *mem, struct ctx *ctx, const peer_heartbeat *hb)
+{
+	for (u_int i = 0; i < hb->contacts.contacts_len; i++) {
+		const peer_contact *pc = &hb->contacts.contacts_val[i];
+		struct member *m;
+
+		if (pc->instance == MEMBER_NONE || !pc->port || pc->port > UINT16_MAX)
+			continue;
+		m = member_get(mem, pc->instance, ctx->now);
+		/* The list's word on a member counts more than a relayed one. */
+		if (m == mem->self || m->in_list)
+			continue;
+		m->ep = (struct endpoint){ pc->ip, (uint16_t)pc->port };
+		if (pc->data_centre && pc->data_centre[0])
+			m->dc = g_intern_string(pc->data_centre);
+	}
+}
+
+/* Returns true when this instance itself is suspected. */
+static bool take_suspicions(struct members *mem, struct ctx *ctx, uint32_t src,
+			    const peer_heartbeat *hb)
+{
+	bool self = false;
+
+	for (u_int i = 0; i < hb->suspicions.suspicions_len; i++) {
+		const peer_suspicion *ps = &hb->suspicions.suspicions_val[i];
+		struct member *m = member_find(mem, ps->instance);
+
+		if (!m || m->incarnation != ps->incarnation || m->id == src)
+			continue;
+		if (m == mem->self) {
+			self = true;
+			continue;
+		}
+		m->suspected_by = src;
+		m->suspected_at = ctx->now;
+	}
+	return self;
+}
+
+bool members_heartbeat(struct members *mem, struct ctx *ctx, uint32_t src, const peer_heartbeat *hb)
+{
+	uint32_t state = hb->counter_state & 7;
+	uint64_t before = mem->version;
+	struct member *m;
+	bool suspected;
+
+	if (src != hb->instance || src == mem->self->id || src == MEMBER_NONE ||
+	    hb->group != mem->group_hash || state > PEER_MEMBER_LEFT)
+		return false;
+	members_note_time(mem, ctx->now);
+	m = member_get(mem, src, ctx->now);
+	if (m->heard && hb->incarnation < m->incarnation)
+		return false;
+	member_advance(mem, m, hb->incarnation, hb->counter_state >> 4, state, ctx->now, true);
+	take_members(mem, ctx, hb);
+	take_vector(mem, ctx, hb);
+	take_contacts(mem, ctx, hb);
+	suspected = take_suspicions(mem, ctx, src, hb);
+	members_refresh(mem, ctx->now);
+	/* Refutes a suspicion at its observer, or tells the sender the members that it lacks. */
+	if ((suspected || hb->counter_state & PEER_MEMBER_WANTS_FULL) &&
+	    ts_diff_ms(ctx->now, mem->last_answer) >= ANSWER_SPACING_MS) {
+		struct draft dr;
+
+		mem->last_answer = ctx->now;
+		next_counter(mem, ctx);
+		make_heartbeat(mem, ctx, &dr, hb->counter_state & PEER_MEMBER_WANTS_FULL);
+		send_heartbeat(ctx, src, &dr.hb);
+	}
+	return mem->version != before;
+}
--- /dev/null
+++ b/member.c
@@ -0,0 +1,437 @@
+#include "member.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "member-internal.h"
+
+/*
+ * A timer gap above this is a pause of the observer: its suspicions are void. Half of the
+ * smallest lease, so that a busy machine does not count as paused.
+ */
+#define OBSERVER_GAP_MS 1000
+
+/* A relay may still hold the last counters of a dead member; this much more is a sign of life. */
+#define REVIVE_AHEAD 3
+
+/* A silent member is unknown after this time when nobody lists it; bounds the table. */
+#define FORGET_AFTER_MS (10 * 60 * MSEC_PER_SEC)
+
+static int compare_id(gconstpointer a, gconstpointer b)
+{
+	const struct member *x = *(struct member *const *)a;
+	const struct member *y = *(struct member *const *)b;
+
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+struct member *member_find(const struct members *mem, uint32_t id)
+{
+	guint low = 0, high = mem->list->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		struct member *m = g_ptr_array_index(mem->list, mid);
+
+		if (m->id == id)
+			return m;
+		if (m->id < id)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
+
+struct member *member_get(struct members *mem, uint32_t id, struct timespec now)
+{
+	struct member *m = member_find(mem, id);
+
+	if (m)
+		return m;
+	m = g_new0(struct member, 1);
+	m->id = id;
+	m->state = MEMBER_JOINING;
+	m->heard_at = now;
+	g_ptr_array_add(mem->list, m);
+	g_ptr_array_sort(mem->list, compare_id);
+	return m;
+}
+
+bool member_has_left(const struct member *m)
+{
+	return m->claimed == PEER_MEMBER_LEFT || (m->list_gone && m->state == MEMBER_DEAD);
+}
+
+static void add_instance(struct members *mem, const struct instance_info *info, struct timespec now)
+{
+	struct member *m;
+
+	if (info->id == MEMBER_NONE)
+		return;
+	if (strcmp(info->group, mem->group) != 0) {
+		struct stranger s = { info->id, info->peer };
+
+		for (guint i = 0; i < mem->strangers->len; i++) {
+			if (g_array_index(mem->strangers, struct stranger, i).id == info->id) {
+				g_array_index(mem->strangers, struct stranger, i) = s;
+				return;
+			}
+		}
+		g_array_append_val(mem->strangers, s);
+		return;
+	}
+	m = member_get(mem, info->id, now);
+	m->ep = info->peer;
+	if (info->data_centre[0])
+		m->dc = g_intern_string(info->data_centre);
+}
+
+struct members *members_new(const struct members_options *opts)
+{
+	struct members *mem = g_new0(struct members, 1);
+	struct timespec zero = { 0, 0 };
+
+	mem->list = g_ptr_array_new_with_free_func(g_free);
+	mem->strangers = g_array_new(FALSE, FALSE, sizeof(struct stranger));
+	mem->candidates = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	mem->group = g_strdup(opts->group);
+	mem->group_hash = (uint32_t)XXH3_64bits(opts->group, strlen(opts->group));
+	mem->self = member_get(mem, opts->self, zero);
+	mem->self->incarnation = opts->incarnation;
+	mem->self->heard = true;
+	mem->self->dc = g_intern_string(opts->data_centre);
+	for (size_t i = 0; i < opts->nr_seeds; i++)
+		add_instance(mem, &opts->seeds[i], zero);
+	if (opts->peer.port)
+		mem->self->ep = opts->peer;
+	mem->size = mem->list->len;
+	return mem;
+}
+
+void members_free(struct members *mem)
+{
+	if (!mem)
+		return;
+	g_ptr_array_unref(mem->list);
+	g_array_unref(mem->strangers);
+	g_array_unref(mem->candidates);
+	g_free(mem->group);
+	g_free(mem);
+}
+
+uint32_t members_lease_ms(const struct members *mem)
+{
+	double spread;
+
+	/* Two members reach each other in every turn; nothing is passed on. */
+	if (mem->size <= 2)
+		return ROUTING_LEASE_MS;
+	/*
+	 * A counter that is passed on at random r times a second is older than x at a given member
+	 * with a probability of about n * exp(-r * x). The lease keeps that below exp(-5); two
+	 * observers must agree before anything follows from it.
+	 */
+	spread = MSEC_PER_SEC * (log(mem->size) + 5) / heartbeat_rate(mem->size);
+	return MAX(ROUTING_LEASE_MS, (uint32_t)spread);
+}
+
+static bool is_candidate(const struct member *m)
+{
+	return m->heard && m->claimed == PEER_MEMBER_LIVE && !m->list_leaving &&
+	       (m->state == MEMBER_LIVE || m->state == MEMBER_SUSPECT);
+}
+
+int64_t member_age_ms(const struct member *m, struct timespec now)
+{
+	return ts_diff_ms(now, m->heard_at);
+}
+
+bool member_suspicious(const struct members *mem, const struct member *m, struct timespec now)
+{
+	return m != mem->self && m->heard && m->claimed != PEER_MEMBER_LEFT &&
+	       member_age_ms(m, now) > members_lease_ms(mem);
+}
+
+/*
+ * Whether another observer agrees, or nobody is in contact who could. A member that hears nobody
+ * has to decide alone, else it would wait for the dead for ever; it takes two leases, because a
+ * gap in its own reception is the more likely reason at first.
+ */
+static bool confirmed(const struct members *mem, const struct member *m, struct timespec now,
+		      uint32_t lease)
+{
+	if (m->suspected_by != MEMBER_NONE && ts_diff_ms(now, m->suspected_at) <= lease)
+		return true;
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *o = g_ptr_array_index(mem->list, i);
+
+		if (o != mem->self && o != m && o->heard && o->state != MEMBER_DEAD &&
+		    member_age_ms(o, now) <= lease)
+			return false;
+	}
+	return member_age_ms(m, now) > 2 * (int64_t)lease;
+}
+
+static enum member_state claimed_state(const struct member *m)
+{
+	if (m->claimed == PEER_MEMBER_LEFT)
+		return MEMBER_DEAD;
+	if (m->claimed == PEER_MEMBER_JOINING)
+		return MEMBER_JOINING;
+	if (m->claimed == PEER_MEMBER_LEAVING || m->list_leaving)
+		return MEMBER_LEAVING;
+	return MEMBER_LIVE;
+}
+
+static enum member_state judge(const struct members *mem, const struct member *m,
+			       struct timespec now, uint32_t lease)
+{
+	int64_t age = member_age_ms(m, now);
+
+	if (m == mem->self)
+		return claimed_state(m);
+	if (m->state == MEMBER_DEAD && m->heard)
+		return MEMBER_DEAD;
+	if (!m->heard)
+		return m->list_gone || age > 3 * (int64_t)lease ? MEMBER_DEAD : MEMBER_JOINING;
+	if (age > lease && m->list_gone)
+		return MEMBER_DEAD;
+	if (age > lease && confirmed(mem, m, now, lease))
+		return age > 3 * (int64_t)lease ? MEMBER_DEAD : MEMBER_SUSPECT;
+	return claimed_state(m);
+}
+
+static void set_state(struct member *m, enum member_state state, struct timespec now)
+{
+	if (state == MEMBER_DEAD && m->state != MEMBER_DEAD && m->heard &&
+	    m->claimed == PEER_MEMBER_LIVE)
+		m->lost_at = now;
+	m->state = state;
+}
+
+static void collect_candidates(const struct members *mem, GArray *out)
+{
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		if (is_candidate(m))
+			g_array_append_val(out, m->id);
+	}
+}
+
+bool members_refresh(struct members *mem, struct timespec now)
+{
+	GArray *fresh = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	uint32_t lease = members_lease_ms(mem);
+	uint32_t size = 0;
+	bool changed;
+
+	for (guint i = 0; i < mem->list->len; i++) {
+		struct member *m = g_ptr_array_index(mem->list, i);
+
+		set_state(m, judge(mem, m, now, lease), now);
+		if (m != mem->self && m->state == MEMBER_DEAD && !m->in_list && !m->ep.port &&
+		    member_age_ms(m, now) > FORGET_AFTER_MS) {
+			g_ptr_array_remove_index(mem->list, i--);
+			continue;
+		}
+		size += !member_has_left(m);
+	}
+	mem->size = size;
+	collect_candidates(mem, fresh);
+	changed = fresh->len != mem->candidates->len ||
+		  (fresh->len &&
+		   memcmp(fresh->data, mem->candidates->data, fresh->len * sizeof(uint32_t)) != 0);
+	if (changed)
+		mem->version++;
+	g_array_unref(mem->candidates);
+	mem->candidates = fresh;
+	return changed;
+}
+
+void members_note_time(struct members *mem, struct timespec now)
+{
+	int64_t gap = mem->started ? ts_diff_ms(now, mem->last_run) : 0;
+
+	if (!mem->started) {
+		mem->started = true;
+		mem->next_send = now;
+		mem->last_run = now;
+		for (guint i = 0; i < mem->list->len; i++)
+			((struct member *)g_ptr_array_index(mem->list, i))->heard_at = now;
+		return;
+	}
+	if (gap > OBSERVER_GAP_MS) {
+		uint32_t lease = members_lease_ms(mem);
+
+		/* Silence during the own pause is no evidence against anybody. */
+		for (guint i = 0; i < mem->list->len; i++) {
+			struct member *m = g_ptr_array_index(mem->list, i);
+
+			if (m->state != MEMBER_DEAD)
+				m->heard_at = ts_add_ms(m->heard_at, gap);
+			m->suspected_by = MEMBER_NONE;
+		}
+		mem->grace_end = ts_add_ms(now, lease);
+		if (gap > ROUTING_LEASE_MS)
+			mem->slept = true;
+	}
+	if (gap > 0)
+		mem->last_run = now;
+}
+
+bool member_advance(struct members *mem, struct member *m, uint32_t incarnation, uint32_t counter,
+		    peer_member_state claimed, struct timespec now, bool direct)
+{
+	bool dead = m->state == MEMBER_DEAD;
+
+	if (m->heard && incarnation < m->incarnation)
+		return false;
+	if (m->heard && incarnation == m->incarnation) {
+		uint32_t ahead = (counter - m->counter) & COUNTER_MASK;
+
+		if (ahead == 0 || ahead > COUNTER_MASK / 2)
+			return false;
+		if (dead && !direct && ahead < REVIVE_AHEAD)
+			return false;
+		if (m->claimed == PEER_MEMBER_LEFT)
+			return false;
+		if (dead)
+			m->lost_at = (struct timespec){ 0, 0 };
+		if (claimed != m->claimed || dead)
+			m->change_sends = CHANGE_SENDS;
+	} else {
+		/* A restart: what the old incarnation held is gone, unless it had left. */
+		if (m->heard && m->claimed == PEER_MEMBER_LIVE && !dead)
+			m->lost_at = now;
+		if (m->heard)
+			mem->version++;
+		m->incarnation = incarnation;
+		m->change_sends = CHANGE_SENDS;
+		m->heard = true;
+	}
+	m->counter = counter;
+	m->claimed = claimed;
+	m->heard_at = now;
+	m->suspected_by = MEMBER_NONE;
+	if (dead || m->state == MEMBER_SUSPECT)
+		m->state = claimed_state(m);
+	return true;
+}
+
+void members_echo(struct members *mem, uint32_t counter)
+{
+	uint32_t behind = (mem->self->counter - counter) & COUNTER_MASK;
+	struct timespec at;
+
+	if (behind >= SENT_RING)
+		return;
+	at = mem->sent_at[counter % SENT_RING];
+	if (ts_cmp(at, mem->echoed) > 0)
+		mem->echoed = at;
+}
+
+void members_list(struct members *mem, struct ctx *ctx, const struct instance_info *list, size_t nr)
+{
+	members_note_time(mem, ctx->now);
+	for (guint i = 0; i < mem->list->len; i++) {
+		struct member *m = g_ptr_array_index(mem->list, i);
+
+		/* Listed before and not any more. */
+		m->list_gone = m->list_gone || m->in_list;
+		m->in_list = false;
+		m->list_leaving = false;
+	}
+	g_array_set_size(mem->strangers, 0);
+	for (size_t i = 0; i < nr; i++) {
+		struct member *m;
+
+		if (list[i].phase == INSTANCE_GONE) {
+			m = member_find(mem, list[i].id);
+			if (m)
+				m->list_gone = true;
+			continue;
+		}
+		add_instance(mem, &list[i], ctx->now);
+		m = member_find(mem, list[i].id);
+		if (!m || strcmp(list[i].group, mem->group) != 0)
+			continue;
+		if (m->list_gone && !m->heard)
+			m->heard_at = ctx->now;
+		m->in_list = true;
+		m->list_gone = false;
+		m->list_leaving = list[i].phase == INSTANCE_LEAVING;
+	}
+	mem->have_list = true;
+	members_refresh(mem, ctx->now);
+}
+
+bool members_timer(struct members *mem, struct ctx *ctx)
+{
+	bool changed;
+
+	members_note_time(mem, ctx->now);
+	changed = members_refresh(mem, ctx->now);
+	heartbeat_send_due(mem, ctx);
+	return changed;
+}
+
+void members_set_digest(struct members *mem, uint64_t config_digest)
+{
+	mem->digest = config_digest;
+}
+
+void members_set_news(struct members *mem, struct news_source *src)
+{
+	mem->news = src;
+}
+
+uint64_t members_version(const struct members *mem)
+{
+	return mem->version;
+}
+
+uint32_t members_self(const struct members *mem)
+{
+	return mem->self->id;
+}
+
+enum member_state members_state(const struct members *mem, uint32_t id)
+{
+	const struct member *m = member_find(mem, id);
+
+	return m ? m->state : MEMBER_DEAD;
+}
+
+uint32_t members_incarnation(const struct members *mem, uint32_t id)
+{
+	const struct member *m = member_find(mem, id);
+
+	return m ? m->incarnation : 0;
+}
+
+void members_set_self(struct members *mem, enum member_state state)
+{
+	struct member *self = mem->self;
+	peer_member_state claimed = PEER_MEMBER_LEAVING;
+
+	if (state == MEMBER_JOINING)
+		claimed = PEER_MEMBER_JOINING;
+	else if (state == MEMBER_LIVE)
+		claimed = PEER_MEMBER_LIVE;
+	if (claimed == self->claimed)
+		return;
+	self->claimed = claimed;
+	self->change_sends = CHANGE_SENDS;
+	members_refresh(mem, mem->last_run);
+}
+
+bool members_slept(struct members *mem)
+{
+	bool slept = mem->slept;
+
+	mem->slept = false;
+	return slept;
+}
--- a/member.h
+++ b/member.h
@@ -11,6 +11,7 @@
 #include "ctx.h"
 #include "packet.h"
 
+/* Of a small group; members_lease_ms() has the lease in force. Dead after three leases. */
 #define ROUTING_LEASE_MS 2000
 #define DEAD_AFTER_MS	 (3 * ROUTING_LEASE_MS)
 #define HEARTBEAT_MS	 500
@@ -32,6 +33,7 @@
 	const char *group;
 	const char *data_centre;
 	uint32_t incarnation;
+	struct endpoint peer; /* where this instance receives peer messages; zero if unknown */
 	const struct instance_info *seeds; /* first contacts, from the settings */
 	size_t nr_seeds;
 };
@@ -69,9 +71,20 @@
 /* Rendezvous rank order for any 64-bit key over the same candidates. */
 uint32_t members_ranked(const struct members *mem, uint64_t key, uint32_t rank);
 
-/* Whether this instance has heard from its group within the routing lease (true when alone). */
+/*
+ * Routing lease in force: grows with the number of members that are known and have not left, so
+ * that it does not change when members die.
+ */
+uint32_t members_lease_ms(const struct members *mem);
+/*
+ * Whether a member has returned a heartbeat that this instance sent within the routing lease (true
+ * when alone). Messages that were queued during a pause therefore do not renew the lease.
+ */
 bool members_lease_fresh(const struct members *mem, struct timespec now);
-/* Whether a member may still route by what it knew before: its lease has not run out. */
+/*
+ * Whether a member may still route by what it knew before: its lease has not run out. Half a lease
+ * is added because others may know a newer counter of the member than this instance does.
+ */
 bool members_may_route(const struct members *mem, uint32_t id, struct timespec now);
 
 /*
@@ -79,13 +92,20 @@
  * true while a whole data centre of the group is missing and not listed as gone.
  */
 bool members_maybe_cut(const struct members *mem);
-/* Number of members that were lost (not left) since @since. */
+/*
+ * Number of members that were lost (not left) since @since. A restart under a new incarnation
+ * counts as a loss; the return of the same incarnation takes the loss back.
+ */
 uint32_t members_lost_since(const struct members *mem, struct timespec since);
 
 uint32_t members_self(const struct members *mem);
 enum member_state members_state(const struct members *mem, uint32_t id);
+/* Incarnation of a member, 0 if unknown. What it held is lost when this changes. */
+uint32_t members_incarnation(const struct members *mem, uint32_t id);
 /* Sets this instance's own state (joining, live or leaving); it spreads with the heartbeats. */
 void members_set_self(struct members *mem, enum member_state state);
+/* The last heartbeat of a planned stop: tells the group that this instance has left. */
+void members_goodbye(struct members *mem, struct ctx *ctx);
 /* True once, after the timer slept for longer than the routing lease (pause of the process). */
 bool members_slept(struct members *mem);
 
--- /dev/null
+++ b/memberview.c
@@ -0,0 +1,181 @@
+/* What the member view answers: rendezvous ranks, routing leases, missing data centres. */
+#include <string.h>
+#include <xxhash.h>
+
+#include "member-internal.h"
+
+static uint64_t weight(uint64_t key, uint32_t id)
+{
+	return XXH3_64bits_withSeed(&key, sizeof(key), id);
+}
+
+uint32_t members_ranked(const struct members *mem, uint64_t key, uint32_t rank)
+{
+	uint64_t bound = UINT64_MAX;
+	uint32_t found = MEMBER_NONE;
+
+	if (rank >= mem->candidates->len)
+		return MEMBER_NONE;
+	/* Each pass finds the highest weight below the one found before; only few ranks are used.
+	 */
+	for (uint32_t pass = 0; pass <= rank; pass++) {
+		uint64_t best = 0;
+
+		found = MEMBER_NONE;
+		for (guint i = 0; i < mem->candidates->len; i++) {
+			uint32_t id = g_array_index(mem->candidates, uint32_t, i);
+			uint64_t w = weight(key, id);
+
+			if (w < bound && (found == MEMBER_NONE || w > best)) {
+				best = w;
+				found = id;
+			}
+		}
+		bound = best;
+	}
+	return found;
+}
+
+uint32_t members_home(const struct members *mem, struct service_addr addr, uint32_t shard,
+		      uint32_t rank)
+{
+	uint32_t words[3] = { addr.ep.ip, (uint32_t)addr.ep.port << 16 | addr.proto, shard };
+
+	return members_ranked(mem, XXH3_64bits(words, sizeof(words)), rank);
+}
+
+static bool alone(const struct members *mem)
+{
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		if (m != mem->self && m->state != MEMBER_DEAD)
+			return false;
+	}
+	return true;
+}
+
+bool members_lease_fresh(const struct members *mem, struct timespec now)
+{
+	if (mem->started && ts_diff_ms(now, mem->last_run) > ROUTING_LEASE_MS)
+		return false;
+	return alone(mem) || (mem->echoed.tv_sec | mem->echoed.tv_nsec &&
+			      ts_diff_ms(now, mem->echoed) <= members_lease_ms(mem));
+}
+
+bool members_may_route(const struct members *mem, uint32_t id, struct timespec now)
+{
+	const struct member *m = member_find(mem, id);
+	uint32_t lease = members_lease_ms(mem);
+
+	if (!m || m->claimed == PEER_MEMBER_LEFT)
+		return false;
+	if (m == mem->self)
+		return members_lease_fresh(mem, now);
+	return member_age_ms(m, now) <= lease + lease / 2;
+}
+
+/* Out of contact, and nobody said that it is gone. */
+static bool missing(const struct members *mem, const struct member *m)
+{
+	if (m == mem->self)
+		return false;
+	if (!m->heard)
+		return m->in_list || !mem->have_list;
+	return m->state == MEMBER_DEAD || m->state == MEMBER_SUSPECT;
+}
+
+bool members_maybe_cut(const struct members *mem)
+{
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+		bool all = true;
+
+		if (!m->dc || member_has_left(m) || !missing(mem, m))
+			continue;
+		for (guint j = 0; all && j < mem->list->len; j++) {
+			const struct member *o = g_ptr_array_index(mem->list, j);
+
+			all = o->dc != m->dc || member_has_left(o) || missing(mem, o) ||
+			      (!o->heard && o != mem->self);
+		}
+		if (all)
+			return true;
+	}
+	return false;
+}
+
+uint32_t members_lost_since(const struct members *mem, struct timespec since)
+{
+	uint32_t nr = 0;
+
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		nr += (m->lost_at.tv_sec || m->lost_at.tv_nsec) && ts_cmp(m->lost_at, since) >= 0;
+	}
+	return nr;
+}
+
+void members_each(const struct members *mem, void (*fn)(uint32_t id, void *arg), void *arg)
+{
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		if (m != mem->self && m->state != MEMBER_DEAD)
+			fn(m->id, arg);
+	}
+}
+
+uint32_t members_count(const struct members *mem)
+{
+	uint32_t nr = 0;
+
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		nr += m == mem->self || m->state == MEMBER_LIVE || m->state == MEMBER_SUSPECT;
+	}
+	return nr;
+}
+
+bool members_in_dc(const struct members *mem, const char *name)
+{
+	const char *dc = g_intern_string(name);
+
+	for (guint i = 0; i < mem->list->len; i++) {
+		const struct member *m = g_ptr_array_index(mem->list, i);
+
+		if (m->dc == dc && m->state != MEMBER_DEAD)
+			return true;
+	}
+	return false;
+}
+
+bool members_endpoint(const struct members *mem, uint32_t id, struct endpoint *ep)
+{
+	const struct member *m = member_find(mem, id);
+
+	if (m) {
+		*ep = m->ep;
+		return m->ep.port != 0;
+	}
+	for (guint i = 0; i < mem->strangers->len; i++) {
+		const struct stranger *s = &g_array_index(mem->strangers, struct stranger, i);
+
+		if (s->id == id) {
+			*ep = s->ep;
+			return s->ep.port != 0;
+		}
+	}
+	return false;
+}
+
+uint32_t members_other_group(const struct members *mem, struct ctx *ctx)
+{
+	if (!mem->strangers->len)
+		return MEMBER_NONE;
+	return g_array_index(mem->strangers, struct stranger,
+			     random_below(ctx->random, mem->strangers->len))
+		.id;
+}
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -22,6 +22,7 @@
 #define PEER_MAX_BUCKETS 64
 #define PEER_MAX_PINS 4096
 #define PEER_MAX_NEWS 512
+#define PEER_MAX_VECTOR 1024
 
 struct peer_service {
 	u_int ip;
@@ -82,6 +83,15 @@
 	u_int counter_state;
 };
 typedef struct peer_member peer_member;
+#define PEER_MEMBER_WANTS_FULL 8
+
+struct peer_contact {
+	u_int instance;
+	u_int ip;
+	u_int port;
+	char *data_centre;
+};
+typedef struct peer_contact peer_contact;
 
 struct peer_target_news {
 	peer_target target;
@@ -101,11 +111,21 @@
 struct peer_heartbeat {
 	u_int instance;
 	u_int incarnation;
+	u_int counter_state;
+	u_int group;
 	u_quad_t config_digest;
+	struct {
+		u_int vector_len;
+		char *vector_val;
+	} vector;
 	struct {
 		u_int members_len;
 		peer_member *members_val;
 	} members;
+	struct {
+		u_int contacts_len;
+		peer_contact *contacts_val;
+	} contacts;
 	struct {
 		u_int suspicions_len;
 		peer_suspicion *suspicions_val;
@@ -311,6 +331,7 @@
 extern  bool_t xdr_peer_bucket (XDR *, peer_bucket*);
 extern  bool_t xdr_peer_member_state (XDR *, peer_member_state*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
+extern  bool_t xdr_peer_contact (XDR *, peer_contact*);
 extern  bool_t xdr_peer_target_news (XDR *, peer_target_news*);
 extern  bool_t xdr_peer_suspicion (XDR *, peer_suspicion*);
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
@@ -342,6 +363,7 @@
 extern bool_t xdr_peer_bucket ();
 extern bool_t xdr_peer_member_state ();
 extern bool_t xdr_peer_member ();
+extern bool_t xdr_peer_contact ();
 extern bool_t xdr_peer_target_news ();
 extern bool_t xdr_peer_suspicion ();
 extern bool_t xdr_peer_heartbeat ();
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -16,6 +16,7 @@
 const PEER_MAX_BUCKETS = 64;
 const PEER_MAX_PINS = 4096;
 const PEER_MAX_NEWS = 512;
+const PEER_MAX_VECTOR = 1024;
 
 struct peer_service {
 	unsigned int ip;
@@ -72,6 +73,17 @@
 	unsigned int counter_state; /* counter << 4 | peer_member_state */
 };
 
+/* Flag of the sender's own counter_state: its view lacks members, it asks for full entries. */
+const PEER_MEMBER_WANTS_FULL = 8;
+
+/* Where an instance of the group receives peer messages, for peers that the list did not tell. */
+struct peer_contact {
+	unsigned int instance;
+	unsigned int ip;
+	unsigned int port;
+	string data_centre<PEER_MAX_NAME>;
+};
+
 /* What one instance found out about a target; spread with the heartbeats. */
 struct peer_target_news {
 	peer_target target;
@@ -90,8 +102,17 @@
 struct peer_heartbeat {
 	unsigned int instance;
 	unsigned int incarnation;
+	unsigned int counter_state;
+	unsigned int group; /* hash of the group's name: strangers are ignored */
 	unsigned hyper config_digest;
-	peer_member members<PEER_MAX_MEMBERS>;
+	/*
+	 * Counters of the members, three bytes or more each, in the order of their numbers: the
+	 * difference to the number before (7 bits a byte, low ones first, the top bit says that
+	 * more follow), state << 6 | low 6 bits of the incarnation, low 8 bits of the counter.
+	 */
+	opaque vector<PEER_MAX_VECTOR>;
+	peer_member members<PEER_MAX_MEMBERS>; /* full entries: recent changes */
+	peer_contact contacts<PEER_MAX_MEMBERS>;
 	peer_suspicion suspicions<PEER_MAX_MEMBERS>;
 	peer_target_news news<PEER_MAX_NEWS>;
 };
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -107,6 +107,61 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_contact (XDR *xdrs, peer_contact *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->instance))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ip))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->port))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->instance);
+		IXDR_PUT_U_LONG(buf, objp->ip);
+		IXDR_PUT_U_LONG(buf, objp->port);
+		}
+		 if (!xdr_string (xdrs, &objp->data_centre, PEER_MAX_NAME))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->instance))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ip))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->port))
+				 return FALSE;
+
+		} else {
+		objp->instance = IXDR_GET_U_LONG(buf);
+		objp->ip = IXDR_GET_U_LONG(buf);
+		objp->port = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->data_centre, PEER_MAX_NAME))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->data_centre, PEER_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_target_news (XDR *xdrs, peer_target_news *objp)
 {
@@ -185,15 +240,97 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->instance))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->incarnation))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->counter_state))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->group))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->instance);
+		IXDR_PUT_U_LONG(buf, objp->incarnation);
+		IXDR_PUT_U_LONG(buf, objp->counter_state);
+		IXDR_PUT_U_LONG(buf, objp->group);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->vector.vector_val, (u_int *) &objp->vector.vector_len, PEER_MAX_VECTOR))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, PEER_MAX_MEMBERS,
+			sizeof (peer_member), (xdrproc_t) xdr_peer_member))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->contacts.contacts_val, (u_int *) &objp->contacts.contacts_len, PEER_MAX_MEMBERS,
+			sizeof (peer_contact), (xdrproc_t) xdr_peer_contact))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspicions.suspicions_val, (u_int *) &objp->suspicions.suspicions_len, PEER_MAX_MEMBERS,
+			sizeof (peer_suspicion), (xdrproc_t) xdr_peer_suspicion))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, PEER_MAX_NEWS,
+			sizeof (peer_target_news), (xdrproc_t) xdr_peer_target_news))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->instance))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->incarnation))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->counter_state))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->group))
+				 return FALSE;
+
+		} else {
+		objp->instance = IXDR_GET_U_LONG(buf);
+		objp->incarnation = IXDR_GET_U_LONG(buf);
+		objp->counter_state = IXDR_GET_U_LONG(buf);
+		objp->group = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->vector.vector_val, (u_int *) &objp->vector.vector_len, PEER_MAX_VECTOR))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, PEER_MAX_MEMBERS,
+			sizeof (peer_member), (xdrproc_t) xdr_peer_member))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->contacts.contacts_val, (u_int *) &objp->contacts.contacts_len, PEER_MAX_MEMBERS,
+			sizeof (peer_contact), (xdrproc_t) xdr_peer_contact))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspicions.suspicions_val, (u_int *) &objp->suspicions.suspicions_len, PEER_MAX_MEMBERS,
+			sizeof (peer_suspicion), (xdrproc_t) xdr_peer_suspicion))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, PEER_MAX_NEWS,
+			sizeof (peer_target_news), (xdrproc_t) xdr_peer_target_news))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->instance))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->counter_state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->group))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->vector.vector_val, (u_int *) &objp->vector.vector_len, PEER_MAX_VECTOR))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, PEER_MAX_MEMBERS,
 		sizeof (peer_member), (xdrproc_t) xdr_peer_member))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->contacts.contacts_val, (u_int *) &objp->contacts.contacts_len, PEER_MAX_MEMBERS,
+		sizeof (peer_contact), (xdrproc_t) xdr_peer_contact))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->suspicions.suspicions_val, (u_int *) &objp->suspicions.suspicions_len, PEER_MAX_MEMBERS,
 		sizeof (peer_suspicion), (xdrproc_t) xdr_peer_suspicion))
 		 return FALSE;
