--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -413,7 +413,6 @@
 	} else if (sim->variant == VARIANT_NO_RECOVERY && msg.type == PEER_SHARD_PULL) {
 		reply.type = PEER_SHARD_STATE;
 		reply.peer_msg_u.state.shard = msg.peer_msg_u.pull.shard;
-		reply.peer_msg_u.state.parts = 1;
 		reply.peer_msg_u.state.complete = TRUE;
 	} else {
 		peer_msg_release(&msg);
