replay: say what went wrong when, model partitions of the fabric

A report alone does not show the decision behind a broken flow.

A cut of a data centre now holds for the fabric: callers and targets reach only their side. The cut of peers alone stays as a trace of its own. A target resets a flow whose caller acknowledges another target's numbers, as TCP does; without that, a partition showed requests as run twice that no real target would run.

--- a/builtin/replay.c
+++ b/builtin/replay.c
@@ -77,6 +77,8 @@
 	if (!read_traces(&trace, paths, faults) || replay_run(&trace, opts, report, faults))
 		goto cleanup;
 	fputs(report->str, stdout);
+	if (opts->notes)
+		fputs(opts->notes->str, stderr);
 	failed = check_outcomes(report->str, outcomes, faults);
 	if (failed >= 0)
 		ret = failed ? EXIT_REFUSED : EXIT_DONE;
@@ -97,9 +99,10 @@
 	struct arg_file *outcome =
 		arg_filen(NULL, "outcome", "FILE", 0, MAX_FILES, "stated outcomes to check");
 	struct arg_lit *counters = arg_lit0(NULL, "counters", "add the fleet's counters");
+	struct arg_lit *notes = arg_lit0(NULL, "notes", "say on stderr what went wrong when");
 	struct arg_lit *help = arg_lit0(NULL, "help", "describe this command");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { path, policy, seed, outcome, counters, help, end };
+	void *table[] = { path, policy, seed, outcome, counters, notes, help, end };
 	struct replay_options opts = { .seed = 1 };
 	int errors = arg_parse(argc, argv, table);
 	int ret = EXIT_USAGE;
@@ -113,7 +116,10 @@
 		opts.policy = policy->count ? policy->sval[0] : NULL;
 		opts.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
 		opts.counters = counters->count > 0;
+		opts.notes = notes->count ? g_string_new(NULL) : NULL;
 		ret = replay_files(path, outcome, &opts);
+		if (opts.notes)
+			g_string_free(opts.notes, TRUE);
 	}
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return ret;
--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -348,6 +348,7 @@
 	const uint8_t *data = g_bytes_get_data(bytes, &len);
 	uint32_t type = len >= 4 ? data[3] : 0;
 
+	inst->type_bytes[type % SIM_PEER_TYPES] += len + CONTROL_OVERHEAD;
 	if (type == PEER_PASS || type == PEER_PASS_RESULT)
 		inst->pass_bytes += len + CONTROL_OVERHEAD;
 	else
--- a/replay-internal.h
+++ b/replay-internal.h
@@ -10,6 +10,7 @@
 #define SIM_PACKET_BYTES  52 /* IPv4, TCP and a payload of 12 bytes */
 #define SIM_PAYLOAD_BYTES 12
 #define SIM_US_PER_MS	  1000
+#define SIM_PEER_TYPES	  16
 
 struct sim;
 
@@ -37,6 +38,7 @@
 	uint8_t flags;	 /* TCP */
 	uint32_t request;
 	uint32_t target; /* sender of an answer, 0xffffffff for a caller's packet */
+	uint32_t acked;	 /* in a caller's packet: the target that accepted the flow */
 	struct service_addr service;
 	uint8_t bytes[SIM_PACKET_BYTES];
 	size_t len;
@@ -102,6 +104,7 @@
 	/* totals over all incarnations */
 	struct counters counters;
 	uint64_t control_bytes, pass_bytes;
+	uint64_t type_bytes[SIM_PEER_TYPES];
 	int64_t alive_us;
 	size_t most_flows, most_pins;
 };
@@ -162,7 +165,7 @@
 	char *name;
 	bool withdrawn;
 	uint64_t generation;
-	bool cut_peers, cut_targets, cut_platform;
+	bool cut_peers, cut_targets, cut_platform, cut_fabric;
 };
 
 /* One version of a configuration object that the platform accepted. */
@@ -230,6 +233,7 @@
 	struct seeded_random random;
 	enum sim_variant variant;
 	const struct trace *trace;
+	GString *notes; /* NULL when not wanted */
 	int64_t end_us, measure_from_us, measure_to_us;
 	unsigned char flow_key[FLOW_KEY_BYTES];
 	/* network, in microseconds and per mille */
@@ -254,6 +258,8 @@
 struct sim_event *sim_schedule(struct sim *sim, int64_t after_us, enum sim_kind kind, uint32_t a,
 			       uint32_t b);
 struct timespec sim_now(const struct sim *sim);
+/* A line for the log of the run, with the time. */
+void sim_note(struct sim *sim, const char *format, ...) G_GNUC_PRINTF(2, 3);
 static inline struct sim_instance *sim_instance(const struct sim *sim, uint32_t i)
 {
 	return g_ptr_array_index(sim->instances, i);
--- a/replay-traffic.c
+++ b/replay-traffic.c
@@ -61,6 +61,10 @@
 	put16(tcp + 2, answer ? port : pkt->service.ep.port);
 	/* Answers acknowledge the byte after the opening. */
 	put32(tcp + (answer ? 8 : 4), answer ? pkt->seq + 1 : pkt->seq);
+	if (answer && pkt->len == 40)
+		put32(tcp + 4, pkt->target);
+	if (!answer)
+		put32(tcp + 8, pkt->acked);
 	tcp[12] = 0x50;
 	tcp[13] = pkt->flags;
 	/* The serial number travels in fields that nobody between the ends reads. */
@@ -93,6 +97,7 @@
 	pkt->service.ep.port = (uint16_t)(tcp[answer ? 0 : 2] << 8 | tcp[answer ? 1 : 3]);
 	pkt->service.proto = 6;
 	pkt->seq = get32(tcp + (answer ? 8 : 4));
+	pkt->acked = answer ? NOBODY : get32(tcp + 8);
 	if (answer)
 		pkt->seq--;
 	pkt->serial = get32(tcp + 14);
@@ -100,6 +105,8 @@
 	if (len > 40) {
 		pkt->request = get32(tcp + 24);
 		pkt->target = get32(tcp + 28);
+	} else if (answer) {
+		pkt->target = get32(tcp + 4); /* its own sequence number */
 	}
 	return true;
 }
@@ -113,8 +120,17 @@
 	return NOBODY;
 }
 
-/* The fabric: each packet goes to any instance of the flow's group that it believes to be live. */
-static uint32_t spray(struct sim *sim, uint32_t slot)
+/* Whether packets of the fabric pass between two data centres. */
+static bool fabric_cut(const struct sim *sim, uint32_t dc_a, uint32_t dc_b)
+{
+	return dc_a != dc_b && (sim->dcs[dc_a].cut_fabric || sim->dcs[dc_b].cut_fabric);
+}
+
+/*
+ * The fabric: each packet goes to any instance of the flow's group that it believes to be live, on
+ * the sender's side of a partition.
+ */
+static uint32_t spray(struct sim *sim, uint32_t slot, uint32_t dc)
 {
 	uint32_t live[256];
 	uint32_t nr = 0;
@@ -122,7 +138,8 @@
 	for (uint32_t i = 0; i < sim->instances->len && nr < G_N_ELEMENTS(live); i++) {
 		const struct sim_instance *inst = sim_instance(sim, i);
 
-		if (inst->in_fabric && inst->group_index == slot % sim->groups->len)
+		if (inst->in_fabric && inst->group_index == slot % sim->groups->len &&
+		    !fabric_cut(sim, dc, inst->dc))
 			live[nr++] = i;
 	}
 	return nr ? live[sim_below(sim, nr)] : NOBODY;
@@ -138,7 +155,7 @@
 static void caller_send(struct sim *sim, uint32_t slot, uint8_t flags, uint32_t request)
 {
 	const struct sim_flow *flow = flow_at(sim, slot);
-	uint32_t i = spray(sim, slot);
+	uint32_t i = spray(sim, slot, slot % sim->nr_dcs); /* callers live in all data centres */
 	struct sim_packet pkt = {
 		.slot = slot,
 		.serial = flow->serial,
@@ -146,6 +163,7 @@
 		.flags = flags,
 		.request = request,
 		.target = NOBODY,
+		.acked = flow->target,
 		.service = sim_service(sim, flow->service)->addr,
 	};
 
@@ -225,9 +243,14 @@
 	flow->free_us = sim->now_us;
 }
 
-static void break_flow(struct sim *sim, uint32_t slot)
+static void break_flow(struct sim *sim, uint32_t slot, const char *cause, const char *by)
 {
-	bool exempt = flow_at(sim, slot)->exempt;
+	const struct sim_flow *flow = flow_at(sim, slot);
+	bool exempt = flow->exempt;
+
+	sim_note(sim, "flow %u at %s %s: %s %s, request %u asked %d ms ago", flow->serial,
+		 sim_target(sim, flow->target)->name, exempt ? "ended" : "broken", cause, by,
+		 flow->request, (int)((sim->now_us - flow->asked_us) / SIM_US_PER_MS));
 
 	end_flow(sim, slot, exempt ? &sim->m.exempt : &sim->m.broken);
 }
@@ -265,7 +288,7 @@
 		break;
 	case FLOW_OPEN:
 		if (flow->waiting && sim->now_us - flow->asked_us > STALLED_MS * SIM_US_PER_MS) {
-			break_flow(sim, slot);
+			break_flow(sim, slot, "no answer", "from anyone");
 		} else if (flow->waiting) {
 			caller_send(sim, slot, ACK, flow->request);
 			arm(sim, slot,
@@ -298,6 +321,8 @@
 	uint32_t ms = (uint32_t)((sim->now_us - flow->asked_us) / SIM_US_PER_MS);
 
 	if (pkt->target != flow->target) {
+		sim_note(sim, "flow %u at %s crossed: answer of %s", flow->serial,
+			 sim_target(sim, flow->target)->name, sim_target(sim, pkt->target)->name);
 		sim->m.crossed++;
 		return;
 	}
@@ -319,11 +344,15 @@
 	if (flow->state == FLOW_OPENING) {
 		if (!(pkt->flags & ACK) || pkt->seq != flow->seq)
 			return;
-		if (flow->ran_at != NOBODY)
+		if (flow->ran_at != NOBODY) {
+			sim_note(sim, "flow %u refused although its request ran", flow->serial);
 			sim->m.false_refusals++;
+		}
 		end_flow(sim, slot, &sim->m.refused);
 	} else if (flow->state == FLOW_OPEN && !(pkt->flags & ACK)) {
-		break_flow(sim, slot);
+		break_flow(sim, slot, "reset by",
+			   pkt->target < sim->targets->len ? sim_target(sim, pkt->target)->name
+							   : "a balancer");
 	} else if (flow->state == FLOW_CLOSING) {
 		end_flow(sim, slot, &sim->m.closed);
 	}
@@ -344,8 +373,7 @@
 	if (pkt.flags & RST) {
 		take_reset(sim, pkt.slot, &pkt);
 	} else if (pkt.flags & SYN) {
-		/* The sender of a SYN-ACK is in the request field's place: see target_send(). */
-		uint32_t target = (uint32_t)get32(pkt.bytes + 24);
+		uint32_t target = pkt.target;
 
 		if (flow->state == FLOW_OPENING) {
 			flow->state = FLOW_OPEN;
@@ -355,6 +383,9 @@
 			sim->m.established++;
 			ask(sim, pkt.slot);
 		} else if (target != flow->target) {
+			sim_note(sim, "flow %u at %s crossed: accepted by %s", flow->serial,
+				 sim_target(sim, flow->target)->name,
+				 sim_target(sim, target)->name);
 			sim->m.crossed++;
 		}
 	} else if (pkt.flags & FIN) {
@@ -373,7 +404,7 @@
 	if (!sim_packet_decode(&pkt, bytes, len))
 		return;
 	rst = pkt;
-	rst.target = 0;
+	rst.target = NOBODY - 1; /* none of the targets, and no caller */
 	rst.flags = pkt.flags & SYN ? RST | ACK : RST;
 	rst.seq = pkt.flags & SYN ? pkt.seq : pkt.seq - 1;
 	sim_packet_encode(&rst);
@@ -390,15 +421,13 @@
 static void target_send(struct sim *sim, uint32_t t, struct sim_packet pkt, uint8_t flags,
 			uint32_t request)
 {
-	uint32_t i = spray(sim, pkt.slot);
+	uint32_t i = spray(sim, pkt.slot, sim_target(sim, t)->dc);
 	struct sim_event *ev;
 
 	pkt.flags = flags;
 	pkt.request = request;
 	pkt.target = t;
 	sim_packet_encode(&pkt);
-	if (flags & SYN)
-		put32(pkt.bytes + 24, t); /* our own sequence number */
 	if (i == NOBODY || (sim->loss && sim_target(sim, t)->dc != sim_instance(sim, i)->dc &&
 			    sim_below(sim, 1000) < sim->loss))
 		return;
@@ -488,6 +517,7 @@
 	sim->m.peak_start_share = MAX(sim->m.peak_start_share, share);
 	if (share > 1000 && tgt->fragile) {
 		sim->m.falls++;
+		sim_note(sim, "%s falls over", tgt->name);
 		sim_target_restart(sim, t, true);
 		return;
 	}
@@ -507,8 +537,11 @@
 	int64_t done;
 
 	if (caller->serial == pkt->serial) {
-		if (caller->ran_at != NOBODY && caller->ran_request == pkt->request)
+		if (caller->ran_at != NOBODY && caller->ran_request == pkt->request) {
+			sim_note(sim, "flow %u request %u runs twice: at %s and at %s", pkt->serial,
+				 pkt->request, sim_target(sim, caller->ran_at)->name, tgt->name);
 			sim->m.run_twice++;
+		}
 		caller->ran_at = t;
 		caller->ran_request = pkt->request;
 	}
@@ -543,7 +576,9 @@
 	struct target_flow *flow = target_flow(sim_target(sim, t), pkt->slot);
 
 	pkt->seq--;
-	if (!flow || flow->serial != pkt->serial || flow->closed_us) {
+	/* A target that the caller did not hear of resets it: the number it acknowledges is wrong.
+	 */
+	if (!flow || flow->serial != pkt->serial || flow->closed_us || pkt->acked != t) {
 		if (!(flow && flow->closed_us))
 			target_send(sim, t, *pkt, RST, 0);
 		else if (pkt->flags & FIN)
--- a/replay.c
+++ b/replay.c
@@ -1,6 +1,7 @@
 #include "replay-internal.h"
 
 #include <errno.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -45,6 +46,19 @@
 	return ts;
 }
 
+void sim_note(struct sim *sim, const char *format, ...)
+{
+	va_list args;
+
+	if (!sim->notes)
+		return;
+	g_string_append_printf(sim->notes, "%d ms: ", (int)(sim->now_us / SIM_US_PER_MS));
+	va_start(args, format);
+	g_string_append_vprintf(sim->notes, format, args);
+	va_end(args);
+	g_string_append_c(sim->notes, '\n');
+}
+
 /* Binary heap of events by time and order. */
 
 static bool before(const struct sim_event *a, const struct sim_event *b)
@@ -420,6 +434,8 @@
 		sim->dcs[d].cut_peers = cut;
 	if (all || !cut || !strcmp(line->arg[1], "targets"))
 		sim->dcs[d].cut_targets = cut;
+	if (all || !cut)
+		sim->dcs[d].cut_fabric = cut;
 	if (all || !cut || !strcmp(line->arg[1], "platform")) {
 		sim->dcs[d].cut_platform = cut;
 		sim_platform_set(sim, sim->platform_down);
@@ -676,6 +692,14 @@
 	report_instances(sim, &sum, report);
 	if (!opts->counters)
 		return;
+	for (uint32_t type = 0; type < SIM_PEER_TYPES; type++) {
+		uint64_t bytes = 0;
+
+		for (uint32_t i = 0; i < sim->instances->len; i++)
+			bytes += sim_instance(sim, i)->type_bytes[type];
+		g_string_append_printf(report, "bytes_of_type_%u = %" G_GUINT64_FORMAT "\n", type,
+				       bytes);
+	}
 #define COUNTER_PUT(name, help) put(report, "total_" #name, sum.name);
 	COUNTER_LIST(COUNTER_PUT)
 #undef COUNTER_PUT
@@ -784,6 +808,7 @@
 {
 	*sim = (struct sim){
 		.trace = trace,
+		.notes = opts->notes,
 		.local_us = 300,
 		.dc_us = 4000,
 		.caller_us = 1000,
--- a/replay.h
+++ b/replay.h
@@ -10,7 +10,8 @@
 struct replay_options {
 	const char *policy; /* see replay_policies; NULL for the product */
 	uint64_t seed;
-	bool counters; /* add the fleet's counters to the report */
+	bool counters;	/* add the fleet's counters to the report */
+	GString *notes; /* gets a line for each thing that went wrong, unless NULL */
 };
 
 struct replay_policy {
