t: let instances leave in the random fleet test

Cause: the random fleet had kills and pauses but no planned leave.

Change: an instance leaves at random and must be gone within 30 s.

Ruled out: a test of its own; leaves meet the other events here.

Conclusion: the hand-over is covered with loss and kills around it.

--- a/t/test-fleet.c
+++ b/t/test-fleet.c
@@ -50,6 +50,9 @@
 	bool reuse_keys;
 	int64_t down_since; /* an instance is down or paused */
 	uint32_t down;
+	bool partitions;
+	uint32_t event_every;
+	int64_t heal_at;
 	bool trace;
 };
 
@@ -263,21 +266,38 @@
 		run_caller(w, &w->slots[i]);
 }
 
+static void leave_node(struct world *w, uint32_t id)
+{
+	struct node *node = &w->fleet.nodes[id];
+	struct actions acts;
+	struct ctx ctx = fleet_ctx(&w->fleet, node, &acts);
+
+	homes_leave(node->homes, &ctx);
+	fleet_done(&w->fleet, node, &acts);
+}
+
 /* One instance at a time is down or paused, for long enough for a recovery and a copy of pins. */
 static void break_node(struct world *w)
 {
 	uint32_t id = 1 + fleet_random(&w->fleet, w->fleet.nr);
 
-	if (w->down)
+	if (w->down || w->heal_at)
 		return;
 	w->down = id;
 	w->down_since = w->fleet.now_ms;
-	if (fleet_random(&w->fleet, 2)) {
+	switch (fleet_random(&w->fleet, 3)) {
+	case 0:
 		trace(w, "pause", id, 0, 0);
 		w->fleet.nodes[id].paused = true;
-	} else {
+		break;
+	case 1:
+		trace(w, "leave", id, 0, 0);
+		leave_node(w, id);
+		break;
+	default:
 		trace(w, "kill", id, 0, 0);
 		fleet_kill(&w->fleet, id);
+		break;
 	}
 }
 
@@ -292,6 +312,14 @@
 		trace(w, "wake", node->id, 0, 0);
 		node->paused = false;
 	}
+	if (node->up && node->mem.state == MEMBER_LEAVING && homes_left(node->homes)) {
+		trace(w, "left", node->id, 0, 0);
+		fleet_kill(&w->fleet, node->id);
+		w->fleet.listed_gone[node->id] = true;
+	}
+	if (node->up && node->mem.state == MEMBER_LEAVING && down_ms > 30000)
+		g_error("seed %llu: instance %u does not leave", (unsigned long long)w->seed,
+			node->id);
 	if (!node->up && down_ms > 8000) {
 		w->fleet.listed_gone[node->id] = true;
 		if (fleet_random(&w->fleet, 300) == 0) {
@@ -308,7 +336,16 @@
 	struct fleet *fleet = &w->fleet;
 	uint32_t target = fleet_random(fleet, 4);
 
-	switch (fleet_random(fleet, 4)) {
+	switch (fleet_random(fleet, w->partitions ? 5 : 4)) {
+	case 4:
+		/* The link between the data centres fails for a while. */
+		if (w->heal_at || w->down)
+			break;
+		for (uint32_t id = 1; id <= fleet->nr; id++)
+			fleet->cut[id] = id % 2;
+		w->heal_at = fleet->now_ms + 500 + fleet_random(fleet, 25000);
+		trace(w, "cut", 0, 0, 0);
+		break;
 	case 0:
 		break_node(w);
 		break;
@@ -330,9 +367,22 @@
 	}
 }
 
-static void run_world(uint64_t seed, uint32_t nr, int64_t ms, bool reuse_keys)
+static uint64_t env_number(const char *name, uint64_t otherwise)
+{
+	const char *value = g_getenv(name);
+
+	return value ? strtoull(value, NULL, 10) : otherwise;
+}
+
+static void run_world(uint64_t seed, uint32_t nr, int64_t ms, bool reuse_keys, bool partitions)
 {
-	struct world w = { .seed = seed, .reuse_keys = reuse_keys };
+	struct world w = {
+		.seed = seed,
+		.reuse_keys = reuse_keys,
+		.partitions = partitions,
+		.event_every = (uint32_t)env_number("FLEET_EVERY", 100),
+	};
+	struct counters sum = { 0 };
 	int64_t start, calm;
 
 	fleet_init(&w.fleet, nr, seed);
@@ -351,7 +401,12 @@
 	while (w.fleet.now_ms < start + ms) {
 		world_step(&w);
 		mend_node(&w);
-		if (w.fleet.now_ms < calm && fleet_random(&w.fleet, 150) == 0)
+		if (w.heal_at && w.fleet.now_ms >= w.heal_at) {
+			trace(&w, "heal", 0, 0, 0);
+			memset(w.fleet.cut, 0, sizeof(w.fleet.cut));
+			w.heal_at = 0;
+		}
+		if (w.fleet.now_ms < calm && fleet_random(&w.fleet, w.event_every) == 0)
 			random_event(&w);
 		if (w.fleet.now_ms >= calm && w.fleet.now_ms < calm + STEP_MS) {
 			w.shed_permille = w.fleet.loss_permille = w.fleet.dup_permille = 0;
@@ -359,6 +414,19 @@
 				w.fleet.full[t] = false;
 		}
 	}
+	for (uint32_t id = 1; id <= nr; id++) {
+		const struct counters *c = &w.fleet.nodes[id].counters;
+
+		sum.flips += c->flips;
+		sum.pins += c->pins;
+		sum.settles += c->settles;
+		sum.retried += c->retried;
+		sum.recoveries += c->recoveries;
+	}
+	g_test_message("seed %llu: %llu flips, %llu settles, %llu pins, %llu retries, %llu recoveries",
+		       (unsigned long long)seed, (unsigned long long)sum.flips,
+		       (unsigned long long)sum.settles, (unsigned long long)sum.pins,
+		       (unsigned long long)sum.retried, (unsigned long long)sum.recoveries);
 	g_test_message("seed %llu: %u opened, %u openings given up, %u resets, %u broken, %u stuck",
 		       (unsigned long long)seed, w.opened, w.gave_up, w.refused, w.broken, w.stuck);
 	if (w.broken || w.stuck)
@@ -370,20 +438,14 @@
 	g_free(w.flows);
 }
 
-static uint64_t env_number(const char *name, uint64_t otherwise)
-{
-	const char *value = g_getenv(name);
-
-	return value ? strtoull(value, NULL, 10) : otherwise;
-}
-
 static void test_random(void)
 {
 	uint64_t first = env_number("FLEET_SEED", 1);
 	uint64_t runs = env_number("FLEET_RUNS", 6);
 
 	for (uint64_t seed = first; seed < first + runs; seed++)
-		run_world(seed, 3 + (uint32_t)(seed % 4), 150000, false);
+		run_world(seed, 3 + (uint32_t)(seed % 4), 150000,
+			  env_number("FLEET_REUSE", 0) != 0, env_number("FLEET_CUT", 0) != 0);
 }
 
 int main(int argc, char **argv)
