target: add health, load, slow start and shedding of targets

Cause: homes need to know which targets bear another flow, and the group must not probe or load a target more than it can bear.

Change: two probers for each target by rendezvous; reports spread with heartbeats, changes before loads, each told up to four times by every member that has it. Probers' states stay until they change, because a large group renews them rarely. Load is own counts times the members, mixed with aged reports; a report below what was opened here, or frozen against own counts, is not believed. Slow start ramps from 10% to 100% by a share of the offered openings and a rate divided over the members. A start is seen by a changed marker, news, a return after failed probes without a marker, or sheds of one target alone. Shedding backs off from 200 ms to 5 s. target_restrained() is new: homes must make SINGLE buckets of such targets SHARED, else openings bypass the choice. peer.x: news carries the warm share and a named state.

Conclusion: usable by the homes. max_new_flows of a service is not enforced here.

--- /dev/null
+++ b/health.c
@@ -0,0 +1,354 @@
+/*
+ * Health of targets: which of them this instance probes, what its probes and the news of others
+ * amount to, and which news it passes on.
+ */
+#include <string.h>
+#include <xxhash.h>
+
+#include "target-internal.h"
+
+/* Heartbeats in which a change goes before all loads; reaches a group as a full entry does. */
+#define URGENT_SENDS 6
+
+/* Loads in one heartbeat; more would make heartbeats rarer, and with them counters older. */
+#define LOADS_PER_HEARTBEAT 4
+
+/* Times that one report is told by each member that has it. */
+#define REPORT_SENDS 4
+#define NOT_TOLD     UINT32_MAX
+
+/* Probes in a row that must succeed before a target that was down is up again. */
+#define PROBES_UP 2
+
+/*
+ * A relayed report gains its transit time in apparent freshness at each hop. Only one that is
+ * newer by more than a few hops is a new report, so that old ones cannot circulate for ever.
+ */
+#define REPORT_SPACING_MS 200
+
+/* Openings that were accepted this recently contradict probes that fail. */
+#define ACCEPT_PROVES_UP_MS 3000
+
+static uint64_t ep_key(struct endpoint ep)
+{
+	return (uint64_t)ep.ip << 16 | ep.port;
+}
+
+static struct target *first_target(const struct targets *tgs, struct endpoint ep)
+{
+	uint64_t key = ep_key(ep);
+
+	return g_hash_table_lookup(tgs->by_ep, &key);
+}
+
+static bool view_fresh(const struct view *view, struct timespec now, int64_t max_age_ms)
+{
+	return view->observer != MEMBER_NONE && ts_diff_ms(now, view->at) <= max_age_ms;
+}
+
+static bool is_prober(const struct target *tgt, uint32_t id)
+{
+	for (int i = 0; i < PROBERS_PER_TARGET; i++) {
+		if (id != MEMBER_NONE && tgt->probers[i] == id)
+			return true;
+	}
+	return false;
+}
+
+peer_target_state health_state(const struct target *tgt, struct timespec now)
+{
+	peer_target_state best[2] = { PEER_TARGET_UNKNOWN, PEER_TARGET_UNKNOWN };
+	peer_target_state state;
+
+	/* One prober that reaches it is enough: the path of the other may be broken. */
+	for (int i = 0; i < VIEWS_MAX; i++) {
+		const struct view *view = &tgt->views[i];
+		bool prober = is_prober(tgt, view->observer);
+
+		if (view->state == PEER_TARGET_UNKNOWN ||
+		    (!prober && !view_fresh(view, now, VIEW_MAX_AGE_MS)))
+			continue;
+		if (best[prober] == PEER_TARGET_UNKNOWN || view->state < best[prober])
+			best[prober] = view->state;
+	}
+	state = best[true] != PEER_TARGET_UNKNOWN ? best[true] : best[false];
+	if (state == PEER_TARGET_DOWN && (tgt->last_accept.tv_sec || tgt->last_accept.tv_nsec) &&
+	    ts_diff_ms(now, tgt->last_accept) < ACCEPT_PROVES_UP_MS)
+		return PEER_TARGET_UP;
+	return state;
+}
+
+const struct view *health_load(const struct target *tgt, struct timespec now)
+{
+	const struct view *best = NULL;
+
+	for (int i = 0; i < VIEWS_MAX; i++) {
+		const struct view *view = &tgt->views[i];
+
+		if (view_fresh(view, now, LOAD_REPORT_MAX_AGE_MS) &&
+		    (view->state == PEER_TARGET_UP || view->state == PEER_TARGET_REFUSING) &&
+		    (!best || ts_cmp(view->at, best->at) > 0))
+			best = view;
+	}
+	return best;
+}
+
+/* The observer's view; a new one takes an unused place or the oldest of those that do not probe. */
+static struct view *get_view(struct target *tgt, uint32_t observer)
+{
+	struct view *oldest = NULL;
+
+	for (int i = 0; i < VIEWS_MAX; i++) {
+		struct view *view = &tgt->views[i];
+
+		if (view->observer == observer)
+			return view;
+		if (!is_prober(tgt, view->observer) &&
+		    (!oldest || ts_cmp(view->at, oldest->at) < 0))
+			oldest = view;
+	}
+	/* There are more places than probers. */
+	g_assert(oldest != NULL);
+	*oldest = (struct view){ .observer = observer };
+	return oldest;
+}
+
+static void take_view(struct targets *tgs, struct ctx *ctx, struct target *tgt,
+		      const struct view *in)
+{
+	struct view *view = get_view(tgt, in->observer);
+	peer_target_state before = health_state(tgt, ctx->now);
+	bool changed = view->state != in->state || view->marker != in->marker;
+	bool first = view->at.tv_sec == 0 && view->at.tv_nsec == 0;
+
+	view->same_reports =
+		!first && view->load_permille == in->load_permille ? view->same_reports + 1 : 0;
+	view->at = in->at;
+	view->sends = 0;
+	view->state = in->state;
+	view->marker = in->marker;
+	view->load_permille = in->load_permille;
+	view->warm_percent = in->warm_percent;
+	if (changed)
+		view->urgent_sends = URGENT_SENDS;
+	if (in->state == PEER_TARGET_UP || in->state == PEER_TARGET_REFUSING)
+		tgt->opened_since_report = 0;
+	if (tgt->is_new && in->state == PEER_TARGET_UP) {
+		tgt->is_new = false;
+		slow_start_begin(tgs, ctx, tgt, ctx->now);
+	}
+	/* Back after it was down, and nothing says that it is the same process: cold. */
+	if (!slow_start_marker(tgs, ctx, tgt, in->marker, in->at) && before == PEER_TARGET_DOWN &&
+	    in->state == PEER_TARGET_UP && !in->marker)
+		slow_start_begin(tgs, ctx, tgt, ctx->now);
+}
+
+static peer_target_state probe_state(struct target *tgt, struct ctx *ctx,
+				     const struct health_report *rep, peer_target_state before)
+{
+	peer_target_state now = rep->ready ? PEER_TARGET_UP : PEER_TARGET_REFUSING;
+
+	ctx->counters->probe_failures += !rep->reachable;
+	if (!rep->reachable) {
+		tgt->successes = 0;
+		tgt->failures++;
+		return tgt->failures >= PROBE_FAILURES_DOWN ? PEER_TARGET_DOWN : before;
+	}
+	tgt->failures = 0;
+	tgt->successes++;
+	return before == PEER_TARGET_DOWN && tgt->successes < PROBES_UP ? PEER_TARGET_DOWN : now;
+}
+
+void targets_health(struct targets *tgs, struct ctx *ctx, const struct health_report *rep)
+{
+	uint32_t self = members_self(tgs->mem);
+
+	for (struct target *tgt = first_target(tgs, rep->target); tgt; tgt = tgt->same_ep) {
+		const struct view *old = get_view(tgt, self);
+		struct view in = {
+			.observer = self,
+			.at = ctx->now,
+			.state = probe_state(tgt, ctx, rep, old->state),
+			.marker = rep->reachable ? rep->start_marker : old->marker,
+			.load_permille = rep->reachable ? MIN(rep->load_permille, UINT16_MAX)
+							: old->load_permille,
+		};
+
+		if (!tgt->in_force)
+			continue;
+		/* A failed probe says nothing of the load and does not renew its age. */
+		if (!rep->reachable && in.state == old->state && in.state != PEER_TARGET_DOWN)
+			continue;
+		take_view(tgs, ctx, tgt, &in);
+	}
+	targets_changed(tgs);
+}
+
+void targets_news(struct targets *tgs, struct ctx *ctx, uint32_t src, const peer_target_news *news,
+		  size_t nr)
+{
+	uint32_t self = members_self(tgs->mem);
+
+	(void)src;
+	for (size_t i = 0; i < nr; i++) {
+		struct endpoint ep = { news[i].target.ip,
+				       (uint16_t)(news[i].target.port_flags >> 16) };
+		struct view in = {
+			.observer = news[i].observer,
+			.at = ts_add_ms(ctx->now, -(int64_t)MIN(news[i].age_ms, 1u << 24)),
+			.state = news[i].load >> 16 & 0xff,
+			.marker = news[i].start_marker,
+			.load_permille = news[i].load & 0xffff,
+			.warm_percent = news[i].load >> 24,
+		};
+
+		if (in.observer == self || in.observer == MEMBER_NONE ||
+		    in.state > PEER_TARGET_DOWN || news[i].age_ms > VIEW_MAX_AGE_MS)
+			continue;
+		for (struct target *tgt = first_target(tgs, ep); tgt; tgt = tgt->same_ep) {
+			struct view *old = get_view(tgt, in.observer);
+
+			if (!tgt->in_force || ts_diff_ms(in.at, old->at) <= REPORT_SPACING_MS)
+				continue;
+			take_view(tgs, ctx, tgt, &in);
+			slow_start_told(tgs, ctx, tgt, in.warm_percent);
+		}
+	}
+	if (nr)
+		targets_changed(tgs);
+}
+
+void health_find_probers(struct targets *tgs, struct target *tgt)
+{
+	uint64_t version = members_version(tgs->mem) + 1;
+	uint64_t ep = ep_key(tgt->ep);
+
+	if (tgt->prober_version == version)
+		return;
+	tgt->prober_version = version;
+	for (uint32_t rank = 0; rank < PROBERS_PER_TARGET; rank++)
+		tgt->probers[rank] = members_ranked(tgs->mem, XXH3_64bits(&ep, sizeof(ep)), rank);
+	/* Before there are candidates, nobody has reports to share: probe for oneself. */
+	if (tgt->probers[0] == MEMBER_NONE)
+		tgt->probers[0] = members_self(tgs->mem);
+}
+
+void health_probe_due(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	const struct service_state *svc = target_service(tgs, tgt);
+	bool needed = tgt->local || svc->spill || !svc->nr_local_fit;
+	uint32_t interval = needed ? PROBE_INTERVAL_MS : PROBE_SPARE_INTERVAL_MS;
+	struct action act = { .type = ACTION_PROBE, .target = tgt->ep };
+
+	if (!is_prober(tgt, members_self(tgs->mem))) {
+		tgt->failures = tgt->successes = 0;
+		return;
+	}
+	/* A spare that is needed now does not wait for its long interval. */
+	if (ts_cmp(ctx->now, tgt->next_probe) < 0 &&
+	    ts_diff_ms(tgt->next_probe, ctx->now) <= 2 * (int64_t)interval)
+		return;
+	actions_add(ctx->out, act, NULL, 0);
+	ctx->counters->probes++;
+	interval = interval * 9 / 10 + random_below(ctx->random, interval / 5);
+	tgt->next_probe = ts_add_ms(ctx->now, interval);
+}
+
+static void put_news(struct ctx *ctx, const struct target *tgt, struct view *view,
+		     peer_target_news *out)
+{
+	uint32_t warm = (slow_start_share(tgt, ctx->now) + 9) / 10;
+
+	*out = (peer_target_news){
+		.target = { .ip = tgt->ep.ip, .port_flags = (uint32_t)tgt->ep.port << 16 },
+		.observer = view->observer,
+		.age_ms = (unsigned int)ts_diff_ms(ctx->now, view->at),
+		.start_marker = view->marker,
+		.load = warm << 24 | (uint32_t)view->state << 16 | view->load_permille,
+	};
+	view->sent_at = ctx->now;
+	view->sends++;
+	if (view->urgent_sends)
+		view->urgent_sends--;
+}
+
+/*
+ * Order in which reports are told, lowest first, NOT_TOLD for not at all. One sending of a report
+ * by each member that has it reaches only part of a group, so there are several; the load of the
+ * freshest observer counts, the other one's is told in case its state was missed.
+ */
+static uint32_t news_rank(const struct target *tgt, const struct view *view, bool urgent,
+			  struct timespec now)
+{
+	uint32_t rank = view->sends;
+
+	if (!view_fresh(view, now, VIEW_MAX_AGE_MS) || ts_cmp(view->sent_at, now) == 0)
+		return NOT_TOLD;
+	if (urgent)
+		return view->urgent_sends ? 0 : NOT_TOLD;
+	if (view->state == PEER_TARGET_UNKNOWN)
+		return NOT_TOLD;
+	for (int i = 0; i < VIEWS_MAX; i++) {
+		if (ts_cmp(tgt->views[i].at, view->at) > 0 &&
+		    tgt->views[i].state != PEER_TARGET_UNKNOWN) {
+			rank += 2;
+			break;
+		}
+	}
+	return rank < REPORT_SENDS ? rank : NOT_TOLD;
+}
+
+/* Next report to tell; of equal rank, the one that was told longest ago. */
+static struct view *next_news(struct targets *tgs, struct ctx *ctx, bool urgent,
+			      struct target **owner)
+{
+	uint32_t best_rank = NOT_TOLD;
+	struct view *best = NULL;
+
+	for (guint i = 0; i < tgs->list->len; i++) {
+		struct target *tgt = g_ptr_array_index(tgs->list, i);
+
+		for (int v = 0; tgt && tgt->in_force && v < VIEWS_MAX; v++) {
+			struct view *view = &tgt->views[v];
+			uint32_t rank = news_rank(tgt, view, urgent, ctx->now);
+
+			if (rank > best_rank || rank == NOT_TOLD ||
+			    (rank == best_rank && ts_cmp(view->sent_at, best->sent_at) >= 0))
+				continue;
+			best = view;
+			best_rank = rank;
+			*owner = tgt;
+		}
+	}
+	return best;
+}
+
+size_t health_fill_news(struct news_source *src, struct ctx *ctx, peer_target_news *news,
+			size_t max)
+{
+	struct targets *tgs = (struct targets *)((char *)src - offsetof(struct targets, news));
+	struct target *tgt = NULL;
+	struct view *view;
+	size_t nr = 0, loads = 0;
+
+	while (nr < max && (view = next_news(tgs, ctx, true, &tgt)))
+		put_news(ctx, tgt, view, &news[nr++]);
+	while (nr < max && loads < LOADS_PER_HEARTBEAT &&
+	       (view = next_news(tgs, ctx, false, &tgt))) {
+		put_news(ctx, tgt, view, &news[nr++]);
+		loads++;
+	}
+	return nr;
+}
+
+void health_spread(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	struct view *own = get_view(tgt, members_self(tgs->mem));
+
+	/* One that does not probe knows how warm the target is, not whether it is up. */
+	if (!is_prober(tgt, own->observer))
+		own->state = PEER_TARGET_UNKNOWN;
+	own->marker = tgt->slow.marker;
+	own->at = ctx->now;
+	own->urgent_sends = URGENT_SENDS;
+}
--- /dev/null
+++ b/load.c
@@ -0,0 +1,274 @@
+/* Load of targets: own counts, aged reports, shedding, and the choice of a target. */
+#include "target-internal.h"
+
+#define PERMILLE 1000
+
+/*
+ * Share of an instance in the flows of a target: its even part and this much more, because shards
+ * and openings do not divide evenly over a few instances.
+ */
+#define PORTION_SLACK_PERMILLE 1250
+#define PORTION_MIN	       2
+
+/* Openings without an answer that each slot of a target may have; more are a queue that grows. */
+#define UNANSWERED_PER_SLOT 32
+
+/* A report that stayed the same for this many probes is not believed against own counts. */
+#define FROZEN_REPORTS	10
+#define FROZEN_MISMATCH 200 /* 1/1000 of the limit */
+
+/* The alternate is taken when the current target is more loaded by this part of the limit. */
+#define CHOICE_MARGIN 100
+
+#define SHED_BACKOFF_MIN_MS 200
+#define SHED_BACKOFF_MAX_MS 5000
+
+/* Sheds in a row, from a target far from its limit, that show a cold start. */
+#define COLD_SHEDS	 3
+#define COLD_LOAD_BELOW	 500
+#define COLD_SHED_GAP_MS 1000
+
+#define PASSIVE_WINDOW_MS 1000
+#define PASSIVE_MIN_MS	  2000
+#define PASSIVE_MAX_MS	  30000
+
+/* A charge is dropped after this time: the flow is then in the counts of whoever opened it. */
+#define CHARGE_MS 1000
+
+static uint32_t own_flows(const struct target *tgt, struct timespec now)
+{
+	return tgt->flows + (ts_diff_ms(now, tgt->charges_at) < CHARGE_MS ? tgt->charges : 0);
+}
+
+/* Part of the target's limit that this instance may use. */
+static uint32_t portion(const struct targets *tgs, const struct target *tgt)
+{
+	uint32_t homes = MAX(members_count(tgs->mem), 1);
+	uint64_t part = (uint64_t)tgt->max_flows * PORTION_SLACK_PERMILLE / PERMILLE / homes;
+
+	if (homes == 1)
+		return tgt->max_flows;
+	return (uint32_t)MIN(MAX(part, PORTION_MIN), tgt->max_flows);
+}
+
+/* All flows of the target, as far as own counts tell: the fabric sprays openings evenly. */
+static uint32_t own_permille(const struct targets *tgs, const struct target *tgt,
+			     struct timespec now)
+{
+	uint64_t total = (uint64_t)own_flows(tgt, now) * MAX(members_count(tgs->mem), 1);
+
+	return (uint32_t)MIN(total * PERMILLE / MAX(tgt->max_flows, 1), UINT16_MAX);
+}
+
+/* The latest report unless own counts contradict it. */
+static const struct view *believable(const struct targets *tgs, const struct target *tgt,
+				     struct timespec now)
+{
+	const struct view *view = health_load(tgt, now);
+	int64_t mismatch;
+
+	if (!view)
+		return NULL;
+	mismatch = (int64_t)view->load_permille - own_permille(tgs, tgt, now);
+	if (view->same_reports >= FROZEN_REPORTS && ABS(mismatch) > FROZEN_MISMATCH)
+		return NULL;
+	return view;
+}
+
+uint32_t load_estimate(const struct targets *tgs, const struct target *tgt, struct timespec now)
+{
+	const struct view *view = believable(tgs, tgt, now);
+	uint32_t own = own_permille(tgs, tgt, now);
+	uint32_t reported, least;
+	int64_t weight;
+
+	if (!view)
+		return own;
+	/* The target has at least the flows that were opened here, whatever it reports. */
+	least = (uint32_t)((uint64_t)own_flows(tgt, now) * PERMILLE / MAX(tgt->max_flows, 1));
+	reported = MAX(view->load_permille, least) + (uint32_t)((uint64_t)tgt->opened_since_report *
+								PERMILLE / MAX(tgt->max_flows, 1));
+	weight = LOAD_REPORT_MAX_AGE_MS - ts_diff_ms(now, view->at);
+	weight = CLAMP(weight, 0, LOAD_REPORT_MAX_AGE_MS);
+	return (uint32_t)((own * (2 * LOAD_REPORT_MAX_AGE_MS - weight) + reported * weight) /
+			  (2 * LOAD_REPORT_MAX_AGE_MS));
+}
+
+bool load_bears(const struct targets *tgs, const struct target *tgt, struct timespec now)
+{
+	const struct view *view;
+	uint32_t part = portion(tgs, tgt);
+	uint64_t headroom;
+
+	if (ts_cmp(now, tgt->backoff_end) < 0 || own_flows(tgt, now) >= part)
+		return false;
+	if (tgt->unanswered >= MAX(tgt->slots, 1) * UNANSWERED_PER_SLOT &&
+	    ts_diff_ms(now, tgt->first_unanswered) < PASSIVE_MAX_MS)
+		return false;
+	view = believable(tgs, tgt, now);
+	if (!view)
+		return true;
+	if (view->load_permille >= PERMILLE)
+		return false;
+	/* Until the next report, the members share what the last one left free. */
+	headroom = (uint64_t)(PERMILLE - view->load_permille) * part / PERMILLE;
+	return tgt->opened_since_report < MAX(headroom, 1);
+}
+
+static bool takes(struct targets *tgs, struct target *tgt, struct timespec now)
+{
+	return tgt && tgt->eligible && load_bears(tgs, tgt, now) &&
+	       slow_start_admits(tgs, tgt, now);
+}
+
+static void charge(struct target *tgt, struct timespec now)
+{
+	if (ts_diff_ms(now, tgt->charges_at) >= CHARGE_MS) {
+		tgt->charges = 0;
+		tgt->charges_at = now;
+	}
+	tgt->charges++;
+	slow_start_charge(tgt);
+}
+
+uint32_t target_choose(struct targets *tgs, struct ctx *ctx, uint32_t current, uint32_t alternate)
+{
+	struct target *cur = target_find(tgs, current);
+	struct target *alt = alternate == current ? NULL : target_find(tgs, alternate);
+	struct target *chosen;
+	bool cur_takes, alt_takes;
+
+	if (cur)
+		slow_start_offered(cur, ctx->now);
+	cur_takes = takes(tgs, cur, ctx->now);
+	alt_takes = takes(tgs, alt, ctx->now);
+	chosen = cur_takes ? cur : NULL;
+	if (alt_takes &&
+	    (!cur_takes ||
+	     (!alt->slow.active && load_estimate(tgs, cur, ctx->now) >
+					   load_estimate(tgs, alt, ctx->now) + CHOICE_MARGIN)))
+		chosen = alt;
+	if (!chosen)
+		return TARGET_NONE;
+	charge(chosen, ctx->now);
+	return chosen->index;
+}
+
+static void heard(struct target *tgt, struct timespec now)
+{
+	tgt->last_answer = now;
+	tgt->unanswered = 0;
+}
+
+void target_opened(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	struct target *tgt = target_find(tgs, target);
+	struct service_state *svc;
+	struct service *conf;
+
+	if (!tgt)
+		return;
+	tgt->flows++;
+	tgt->opened_since_report++;
+	if (tgt->charges)
+		tgt->charges--;
+	if (!tgt->unanswered++)
+		tgt->first_unanswered = ctx->now;
+	svc = target_service(tgs, tgt);
+	if (config_target_by_index(tgs->cfg, target, &conf))
+		budget_add(&svc->retries, (int64_t)BUDGET_TOKEN * conf->retry_permille / PERMILLE,
+			   RETRY_BURST * BUDGET_TOKEN);
+	/*
+	 * Answers may come back through any member, so one member sees a part of them. At five
+	 * openings for each member, no answer at all is no chance.
+	 */
+	if (tgt->passive_down ||
+	    tgt->unanswered < OPENINGS_UNANSWERED_DOWN * MAX(members_count(tgs->mem), 1) ||
+	    ts_diff_ms(ctx->now, tgt->first_unanswered) < PASSIVE_WINDOW_MS)
+		return;
+	tgt->passive_down = true;
+	tgt->passive_ms = CLAMP(tgt->passive_ms * 2, PASSIVE_MIN_MS, PASSIVE_MAX_MS);
+	tgt->passive_end = ts_add_ms(ctx->now, tgt->passive_ms);
+	targets_changed(tgs);
+}
+
+void target_accepted(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	struct target *tgt = target_find(tgs, target);
+
+	if (!tgt)
+		return;
+	heard(tgt, ctx->now);
+	tgt->last_accept = ctx->now;
+	tgt->sheds = 0;
+	tgt->backoff_ms = 0;
+	tgt->passive_ms = 0;
+}
+
+/*
+ * Whether most other targets of the service do not shed. When all of them do, the load is too high;
+ * to take that for cold starts would cut the capacity to a tenth when it is needed most.
+ */
+static bool sheds_alone(const struct targets *tgs, const struct target *tgt, struct timespec now)
+{
+	uint32_t all = 0, shedding = 0;
+
+	for (guint i = 0; i < tgs->list->len; i++) {
+		const struct target *other = g_ptr_array_index(tgs->list, i);
+
+		if (!other || other == tgt || !other->eligible || other->svc_key != tgt->svc_key)
+			continue;
+		all++;
+		shedding += (other->last_shed.tv_sec || other->last_shed.tv_nsec) &&
+			    ts_diff_ms(now, other->last_shed) < SHED_BACKOFF_MAX_MS;
+	}
+	return shedding * 3 <= all;
+}
+
+void target_shed(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	struct target *tgt = target_find(tgs, target);
+	struct timespec now = ctx->now;
+
+	if (!tgt)
+		return;
+	heard(tgt, now);
+	if (tgt->slow.active && ts_diff_ms(now, tgt->last_shed) >= COLD_SHED_GAP_MS)
+		slow_start_shed(tgt, now);
+	tgt->last_shed = now;
+	tgt->sheds++;
+	/* Sheds of openings that were under way together are one sign, not several. */
+	if (ts_cmp(now, tgt->backoff_end) < 0)
+		return;
+	tgt->backoff_ms = CLAMP(tgt->backoff_ms * 2, SHED_BACKOFF_MIN_MS, SHED_BACKOFF_MAX_MS);
+	tgt->backoff_end =
+		ts_add_ms(now, tgt->backoff_ms / 2 + random_below(ctx->random, tgt->backoff_ms));
+	if (tgt->sheds >= COLD_SHEDS && !tgt->slow.active &&
+	    own_permille(tgs, tgt, now) < COLD_LOAD_BELOW && sheds_alone(tgs, tgt, now))
+		slow_start_begin(tgs, ctx, tgt, now);
+	targets_changed(tgs);
+}
+
+void target_closed(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	struct target *tgt = target_find(tgs, target);
+
+	(void)ctx;
+	if (tgt && tgt->flows)
+		tgt->flows--;
+}
+
+void target_answered(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	struct target *tgt = target_find(tgs, target);
+
+	if (tgt)
+		heard(tgt, ctx->now);
+}
+
+struct timespec target_last_answer(const struct targets *tgs, uint32_t target)
+{
+	const struct target *tgt = target_find(tgs, target);
+
+	return tgt ? tgt->last_answer : (struct timespec){ 0, 0 };
+}
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -93,6 +93,14 @@
 };
 typedef struct peer_contact peer_contact;
 
+enum peer_target_state {
+	PEER_TARGET_UNKNOWN = 0,
+	PEER_TARGET_UP = 1,
+	PEER_TARGET_REFUSING = 2,
+	PEER_TARGET_DOWN = 3,
+};
+typedef enum peer_target_state peer_target_state;
+
 struct peer_target_news {
 	peer_target target;
 	u_int observer;
@@ -332,6 +340,7 @@
 extern  bool_t xdr_peer_member_state (XDR *, peer_member_state*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_contact (XDR *, peer_contact*);
+extern  bool_t xdr_peer_target_state (XDR *, peer_target_state*);
 extern  bool_t xdr_peer_target_news (XDR *, peer_target_news*);
 extern  bool_t xdr_peer_suspicion (XDR *, peer_suspicion*);
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
@@ -364,6 +373,7 @@
 extern bool_t xdr_peer_member_state ();
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_contact ();
+extern bool_t xdr_peer_target_state ();
 extern bool_t xdr_peer_target_news ();
 extern bool_t xdr_peer_suspicion ();
 extern bool_t xdr_peer_heartbeat ();
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -84,13 +84,20 @@
 	string data_centre<PEER_MAX_NAME>;
 };
 
+enum peer_target_state {
+	PEER_TARGET_UNKNOWN = 0,
+	PEER_TARGET_UP = 1,
+	PEER_TARGET_REFUSING = 2, /* reachable, but says that it takes no new work */
+	PEER_TARGET_DOWN = 3
+};
+
 /* What one instance found out about a target; spread with the heartbeats. */
 struct peer_target_news {
 	peer_target target;
 	unsigned int observer;
 	unsigned int age_ms;
 	unsigned int start_marker;
-	unsigned int load; /* state << 16 | load in 1/1000 of the limit */
+	unsigned int load; /* warm share in percent << 24 | peer_target_state << 16 | load in 1/1000 */
 };
 
 /* An instance that a heartbeat's sender suspects. */
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -162,6 +162,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_target_state (XDR *xdrs, peer_target_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_target_news (XDR *xdrs, peer_target_news *objp)
 {
--- /dev/null
+++ b/slowstart.c
@@ -0,0 +1,139 @@
+/*
+ * Slow start: the share of its load that a target may get after a start, when a start is assumed,
+ * and the budgets that keep openings within the share.
+ */
+#include "target-internal.h"
+
+#define PERMILLE 1000
+
+/*
+ * Openings a second that fill a warm target in this time are the most that it is given while it
+ * starts, times its share: sessions are long, and a burst on a cold target does not drain.
+ */
+#define FILL_S 10
+
+/* Openings in a row that a starting target may get at most. */
+#define START_BURST 2
+
+/* News of a start later than the known one by less than this is the same start, told late. */
+#define SAME_START_MS 2000
+
+/*
+ * A marker that changes more often than this within the window is no start marker: a health
+ * endpoint that lies must not keep its target at a tenth for ever.
+ */
+#define MARKER_CHANGES_MAX 3
+#define MARKER_WINDOW_MS   (10 * 60 * MSEC_PER_SEC)
+
+uint32_t slow_start_share(const struct target *tgt, struct timespec now)
+{
+	int64_t elapsed;
+
+	if (!tgt->slow.active || !tgt->warmup_ms)
+		return PERMILLE;
+	elapsed = ts_diff_ms(now, tgt->slow.began);
+	if (elapsed >= tgt->warmup_ms)
+		return PERMILLE;
+	return SLOW_START_MIN_PERMILLE +
+	       (uint32_t)((PERMILLE - SLOW_START_MIN_PERMILLE) * MAX(elapsed, 0) / tgt->warmup_ms);
+}
+
+void slow_start_begin(struct targets *tgs, struct ctx *ctx, struct target *tgt, struct timespec at)
+{
+	struct slow_start *slow = &tgt->slow;
+
+	if (!tgt->warmup_ms || ts_diff_ms(ctx->now, at) >= tgt->warmup_ms)
+		return;
+	slow->active = true;
+	slow->began = at;
+	slow->flows_before = tgt->flows;
+	/* A random rest keeps the homes from all sending their first opening at once. */
+	slow->credit.milli = random_below(ctx->random, BUDGET_TOKEN);
+	slow->rate.milli = BUDGET_TOKEN;
+	slow->rate.filled = ctx->now;
+	tgt->opened_since_report = 0;
+	ctx->counters->cold_starts++;
+	health_spread(tgs, ctx, tgt);
+}
+
+bool slow_start_marker(struct targets *tgs, struct ctx *ctx, struct target *tgt, uint32_t marker,
+		       struct timespec at)
+{
+	struct slow_start *slow = &tgt->slow;
+
+	if (!marker || marker == slow->marker)
+		return false;
+	if (!slow->marker) {
+		slow->marker = marker;
+		slow->marker_at = at;
+		return false;
+	}
+	/* A late report may still name the marker before. */
+	if (ts_cmp(at, slow->marker_at) <= 0 ||
+	    (marker == slow->old_marker && ts_diff_ms(at, slow->marker_at) < VIEW_MAX_AGE_MS))
+		return false;
+	slow->old_marker = slow->marker;
+	slow->marker = marker;
+	slow->marker_at = at;
+	if (!slow->marker_changes || ts_diff_ms(ctx->now, slow->marker_window) > MARKER_WINDOW_MS) {
+		slow->marker_window = ctx->now;
+		slow->marker_changes = 0;
+	}
+	if (++slow->marker_changes > MARKER_CHANGES_MAX)
+		return false;
+	slow_start_begin(tgs, ctx, tgt, at);
+	return true;
+}
+
+void slow_start_told(struct targets *tgs, struct ctx *ctx, struct target *tgt,
+		     uint32_t warm_percent)
+{
+	uint32_t least = SLOW_START_MIN_PERMILLE / 10;
+	struct timespec began;
+	int64_t elapsed;
+
+	if (warm_percent >= 100 || warm_percent < least || !tgt->warmup_ms)
+		return;
+	elapsed = (int64_t)tgt->warmup_ms * (warm_percent - least) / (100 - least);
+	began = ts_add_ms(ctx->now, -elapsed);
+	if (ts_diff_ms(began, tgt->slow.began) < SAME_START_MS + (int64_t)tgt->warmup_ms / 20)
+		return;
+	slow_start_begin(tgs, ctx, tgt, began);
+}
+
+void slow_start_offered(struct target *tgt, struct timespec now)
+{
+	if (tgt->slow.active)
+		budget_add(&tgt->slow.credit, slow_start_share(tgt, now),
+			   START_BURST * BUDGET_TOKEN);
+}
+
+bool slow_start_admits(struct targets *tgs, struct target *tgt, struct timespec now)
+{
+	uint32_t share = slow_start_share(tgt, now);
+	uint32_t homes = MAX(members_count(tgs->mem), 1);
+	uint64_t portion = (uint64_t)tgt->max_flows * share / homes;
+	uint32_t flows = tgt->flows - MIN(tgt->flows, tgt->slow.flows_before) + tgt->charges;
+
+	if (share == PERMILLE)
+		return true;
+	budget_fill(&tgt->slow.rate, now, (int64_t)portion / FILL_S, START_BURST * BUDGET_TOKEN);
+	return budget_has(&tgt->slow.credit) && budget_has(&tgt->slow.rate) &&
+	       (uint64_t)flows * PERMILLE < MAX(portion, PERMILLE);
+}
+
+void slow_start_charge(struct target *tgt)
+{
+	if (!tgt->slow.active)
+		return;
+	tgt->slow.credit.milli -= BUDGET_TOKEN;
+	tgt->slow.rate.milli -= BUDGET_TOKEN;
+}
+
+void slow_start_shed(struct target *tgt, struct timespec now)
+{
+	int64_t elapsed = ts_diff_ms(now, tgt->slow.began);
+
+	if (tgt->slow.active && elapsed > 0)
+		tgt->slow.began = ts_add_ms(now, -elapsed / 2);
+}
--- /dev/null
+++ b/target.c
@@ -0,0 +1,361 @@
+#include "target.h"
+
+#include <string.h>
+
+#include "target-internal.h"
+
+#define REFRESH_MS 250
+
+/* Configuration arrives object by object; targets of this time are not new to the fleet. */
+#define FIRST_CONFIG_MS 10000
+
+/*
+ * A target that was there when this process started, and that nobody reported yet, is used this
+ * long. In a large group the reports of others take that time to arrive.
+ */
+#define UNKNOWN_GRACE_MS 60000
+
+/* Established flows stay with a target that probes call down while it answers. */
+#define ANSWER_PROVES_USABLE_MS 15000
+
+/* Load in 1/1000 of the limit at which all local targets count as full, and as free again. */
+#define SPILL_FULL 950
+#define SPILL_FREE 800
+#define SPILL_MS   1000
+
+/* Retries that a quiet service starts with. */
+#define RETRY_FIRST 3
+
+struct target *target_find(const struct targets *tgs, uint32_t index)
+{
+	return index < tgs->list->len ? g_ptr_array_index(tgs->list, index) : NULL;
+}
+
+static uint64_t service_key(struct service_addr addr)
+{
+	return (uint64_t)addr.ep.ip << 24 | (uint64_t)addr.ep.port << 8 | addr.proto;
+}
+
+static struct service_state *get_service(struct targets *tgs, uint64_t key)
+{
+	struct service_state *svc = g_hash_table_lookup(tgs->services, &key);
+
+	if (svc)
+		return svc;
+	svc = g_new0(struct service_state, 1);
+	svc->key = key;
+	svc->retries.milli = RETRY_FIRST * BUDGET_TOKEN;
+	g_hash_table_insert(tgs->services, &svc->key, svc);
+	return svc;
+}
+
+struct service_state *target_service(struct targets *tgs, const struct target *tgt)
+{
+	return get_service(tgs, tgt->svc_key);
+}
+
+struct targets *targets_new(const struct config *cfg, struct members *mem)
+{
+	struct targets *tgs = g_new0(struct targets, 1);
+
+	tgs->cfg = cfg;
+	tgs->mem = mem;
+	tgs->news.fill = health_fill_news;
+	tgs->list = g_ptr_array_new_with_free_func(g_free);
+	tgs->by_ep = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	tgs->services = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return tgs;
+}
+
+void targets_free(struct targets *tgs)
+{
+	if (!tgs)
+		return;
+	g_ptr_array_unref(tgs->list);
+	g_hash_table_unref(tgs->by_ep);
+	g_hash_table_unref(tgs->services);
+	g_free(tgs);
+}
+
+struct news_source *targets_news_source(struct targets *tgs)
+{
+	return &tgs->news;
+}
+
+static struct target *add_target(struct targets *tgs, const struct target_config *tc)
+{
+	uint64_t key = (uint64_t)tc->ep.ip << 16 | tc->ep.port;
+	struct target *tgt = g_new0(struct target, 1);
+
+	tgt->index = tc->index;
+	tgt->ep = tc->ep;
+	if (tc->index >= tgs->list->len)
+		g_ptr_array_set_size(tgs->list, (gint)tc->index + 1);
+	g_ptr_array_index(tgs->list, tc->index) = tgt;
+	tgt->same_ep = g_hash_table_lookup(tgs->by_ep, &key);
+	g_hash_table_replace(tgs->by_ep, g_memdup2(&key, sizeof(key)), tgt);
+	return tgt;
+}
+
+struct follow {
+	struct targets *tgs;
+	struct ctx *ctx;
+};
+
+static void follow_service(struct service *conf, void *arg)
+{
+	struct follow *fol = arg;
+	struct targets *tgs = fol->tgs;
+	uint64_t key = service_key(conf->addr);
+	bool known = g_hash_table_contains(tgs->services, &key) &&
+		     ts_diff_ms(fol->ctx->now, tgs->first_config) > FIRST_CONFIG_MS;
+
+	get_service(tgs, key);
+	for (guint i = 0; i < conf->targets->len; i++) {
+		const struct target_config *tc =
+			&g_array_index(conf->targets, struct target_config, i);
+		struct target *tgt = target_find(tgs, tc->index);
+		bool added = !tgt || tgt->svc_key == 0;
+
+		if (!tgt)
+			tgt = add_target(tgs, tc);
+		tgt->slots = tc->slots;
+		tgt->max_flows = tc->max_flows;
+		tgt->warmup_ms = tc->warmup_ms;
+		tgt->dc = tc->dc;
+		tgt->org = conf->org;
+		tgt->draining = tc->draining;
+		tgt->svc_key = key;
+		tgt->in_force = true;
+		if (!added)
+			continue;
+		tgt->added = fol->ctx->now;
+		tgt->is_new = known;
+		tgt->withdrawn = config_withdrawn(tgs->cfg, tgt->org, tgt->dc);
+		tgt->next_probe =
+			ts_add_ms(fol->ctx->now, random_below(fol->ctx->random, PROBE_INTERVAL_MS));
+	}
+}
+
+/* What was known of a target that is no longer in force is void when it returns. */
+static void forget_removed(struct targets *tgs)
+{
+	for (guint i = 0; i < tgs->list->len; i++) {
+		struct target *tgt = g_ptr_array_index(tgs->list, i);
+
+		if (!tgt || tgt->in_force)
+			continue;
+		memset(tgt->views, 0, sizeof(tgt->views));
+		tgt->slow = (struct slow_start){ 0 };
+		tgt->svc_key = 0;
+		tgt->flows = tgt->charges = tgt->unanswered = tgt->sheds = 0;
+		tgt->passive_down = false;
+	}
+}
+
+/* May take new flows, apart from the question whether its data centre is needed. */
+static bool fit(struct targets *tgs, struct target *tgt, struct timespec now)
+{
+	peer_target_state state = health_state(tgt, now);
+
+	if (tgt->draining || tgt->withdrawn || tgt->passive_down)
+		return false;
+	if (state != PEER_TARGET_UNKNOWN)
+		return state == PEER_TARGET_UP;
+	return target_service(tgs, tgt)->nr_up == 0 ||
+	       (!tgt->is_new && ts_diff_ms(now, tgt->added) < UNKNOWN_GRACE_MS);
+}
+
+static void follow_withdrawal(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	const struct data_centre *dc = config_dc(tgs->cfg, tgt->dc);
+	bool withdrawn = config_withdrawn(tgs->cfg, tgt->org, tgt->dc);
+
+	tgt->local = dc && members_in_dc(tgs->mem, dc->name);
+	/* A data centre that returns ramps up like a starting target. */
+	if (tgt->withdrawn && !withdrawn)
+		slow_start_begin(tgs, ctx, tgt, ctx->now);
+	tgt->withdrawn = withdrawn;
+}
+
+static void follow_evidence(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	if (tgt->slow.active && slow_start_share(tgt, ctx->now) == 1000)
+		tgt->slow.active = false;
+	if (tgt->passive_down && ts_cmp(ctx->now, tgt->passive_end) >= 0) {
+		/* A trial at the smallest share; it may be silent still. */
+		tgt->passive_down = false;
+		tgt->unanswered = 0;
+		slow_start_begin(tgs, ctx, tgt, ctx->now);
+	}
+}
+
+/* Whether targets of other data centres help out, with hysteresis. */
+static void follow_spill(struct service_state *svc, struct timespec now)
+{
+	if (!svc->nr_local_fit || svc->nr_local_free) {
+		svc->full_since = now;
+		if (svc->nr_local_free)
+			svc->spill = false;
+		return;
+	}
+	if (ts_diff_ms(now, svc->full_since) >= SPILL_MS)
+		svc->spill = true;
+}
+
+static void count_target(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	struct service_state *svc = target_service(tgs, tgt);
+	uint32_t load;
+
+	if (!tgt->local || !fit(tgs, tgt, ctx->now))
+		return;
+	svc->nr_local_fit++;
+	load = load_estimate(tgs, tgt, ctx->now);
+	svc->nr_local_free +=
+		load < (svc->spill ? SPILL_FREE : SPILL_FULL) && load_bears(tgs, tgt, ctx->now);
+}
+
+static void each_target(struct targets *tgs, struct ctx *ctx,
+			void (*fn)(struct targets *tgs, struct ctx *ctx, struct target *tgt))
+{
+	for (guint i = 0; i < tgs->list->len; i++) {
+		struct target *tgt = g_ptr_array_index(tgs->list, i);
+
+		if (tgt && tgt->in_force)
+			fn(tgs, ctx, tgt);
+	}
+}
+
+static void follow_target(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	health_find_probers(tgs, tgt);
+	follow_withdrawal(tgs, ctx, tgt);
+	follow_evidence(tgs, ctx, tgt);
+	target_service(tgs, tgt)->nr_up += health_state(tgt, ctx->now) == PEER_TARGET_UP;
+}
+
+static void judge_target(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	const struct service_state *svc = target_service(tgs, tgt);
+	bool eligible = fit(tgs, tgt, ctx->now) && (tgt->local || svc->spill || !svc->nr_local_fit);
+	bool restrained = eligible && (tgt->slow.active || !load_bears(tgs, tgt, ctx->now));
+
+	if (eligible != tgt->eligible || restrained != tgt->restrained)
+		tgs->version++;
+	tgt->eligible = eligible;
+	tgt->restrained = restrained;
+}
+
+static void refresh(struct targets *tgs, struct ctx *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	tgs->now = ctx->now;
+	tgs->next_refresh = ts_add_ms(ctx->now, REFRESH_MS);
+	g_hash_table_iter_init(&iter, tgs->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct service_state *svc = value;
+
+		svc->nr_up = svc->nr_local_fit = svc->nr_local_free = 0;
+	}
+	each_target(tgs, ctx, follow_target);
+	each_target(tgs, ctx, count_target);
+	g_hash_table_iter_init(&iter, tgs->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		follow_spill(value, ctx->now);
+	each_target(tgs, ctx, judge_target);
+}
+
+void targets_changed(struct targets *tgs)
+{
+	tgs->next_refresh = (struct timespec){ 0, 0 };
+}
+
+void targets_config_changed(struct targets *tgs, struct ctx *ctx)
+{
+	struct follow fol = { tgs, ctx };
+
+	if (tgs->first_config.tv_sec == 0 && tgs->first_config.tv_nsec == 0)
+		tgs->first_config = ctx->now;
+	for (guint i = 0; i < tgs->list->len; i++) {
+		struct target *tgt = g_ptr_array_index(tgs->list, i);
+
+		if (tgt)
+			tgt->in_force = false;
+	}
+	config_each_service(tgs->cfg, follow_service, &fol);
+	forget_removed(tgs);
+	tgs->version++;
+	refresh(tgs, ctx);
+}
+
+void targets_timer(struct targets *tgs, struct ctx *ctx)
+{
+	tgs->now = ctx->now;
+	if (ts_cmp(ctx->now, tgs->next_refresh) >= 0)
+		refresh(tgs, ctx);
+	each_target(tgs, ctx, health_probe_due);
+}
+
+uint64_t targets_version(const struct targets *tgs)
+{
+	return tgs->version;
+}
+
+bool target_eligible(const struct targets *tgs, uint32_t target)
+{
+	const struct target *tgt = target_find(tgs, target);
+
+	return tgt && tgt->in_force && tgt->eligible;
+}
+
+uint32_t target_weight(const struct targets *tgs, uint32_t target)
+{
+	return target_eligible(tgs, target) ? target_find(tgs, target)->max_flows : 0;
+}
+
+bool target_restrained(const struct targets *tgs, uint32_t target)
+{
+	const struct target *tgt = target_find(tgs, target);
+
+	return tgt && tgt->in_force && tgt->restrained;
+}
+
+bool target_usable(const struct targets *tgs, uint32_t target)
+{
+	const struct target *tgt = target_find(tgs, target);
+
+	if (!tgt || !tgt->in_force || tgt->withdrawn)
+		return false;
+	return health_state(tgt, tgs->now) != PEER_TARGET_DOWN ||
+	       ((tgt->last_answer.tv_sec || tgt->last_answer.tv_nsec) &&
+		ts_diff_ms(tgs->now, tgt->last_answer) < ANSWER_PROVES_USABLE_MS);
+}
+
+bool target_take_retry(struct targets *tgs, struct ctx *ctx, const struct service *svc)
+{
+	(void)ctx;
+	return budget_take(&get_service(tgs, service_key(svc->addr))->retries);
+}
+
+void target_get_status(const struct targets *tgs, uint32_t target, struct timespec now,
+		       struct target_status *st)
+{
+	const struct target *tgt = target_find(tgs, target);
+	const struct view *view;
+
+	*st = (struct target_status){ .share_permille = 1000, .report_age_ms = UINT32_MAX };
+	if (!tgt || !tgt->in_force)
+		return;
+	st->eligible = tgt->eligible;
+	st->starting = tgt->slow.active;
+	st->share_permille = slow_start_share(tgt, now);
+	st->flows = tgt->flows;
+	view = health_load(tgt, now);
+	if (view) {
+		st->load_permille = view->load_permille;
+		st->report_age_ms = (uint32_t)ts_diff_ms(now, view->at);
+	}
+}
--- a/target.h
+++ b/target.h
@@ -15,6 +15,8 @@
 #define OPENINGS_UNANSWERED_DOWN 5
 #define PROBERS_PER_TARGET	 2
 #define SLOW_START_MIN_PERMILLE	 100
+/* Targets of other data centres that are not needed are probed less often: the links are costly. */
+#define PROBE_SPARE_INTERVAL_MS 30000
 
 struct targets;
 
@@ -37,6 +39,11 @@
 bool target_eligible(const struct targets *tgs, uint32_t target);
 /* Weight for the assignment: the limit of the target in flows; 0 when not eligible. */
 uint32_t target_weight(const struct targets *tgs, uint32_t target);
+/*
+ * Openings must be chosen one by one: the target is starting, sheds, or is near its limit. Homes
+ * make its SINGLE buckets SHARED, because there any instance forwards openings without asking.
+ */
+bool target_restrained(const struct targets *tgs, uint32_t target);
 /* Reachable and not withdrawn: packets of established flows may still go there. */
 bool target_usable(const struct targets *tgs, uint32_t target);
 
@@ -44,14 +51,19 @@
  * Picks the target of a new flow: the bucket's @current or its @alternate (TARGET_NONE for none).
  * Compares load (own flows in flight plus reports younger than LOAD_REPORT_MAX_AGE_MS) and honours
  * limits, shedding and slow-start tokens. Returns TARGET_NONE when neither bears one more flow.
- * A returned target has been charged with the flow.
+ * A returned target has been charged with the flow until target_opened() counts it or the charge
+ * has aged.
  */
 uint32_t target_choose(struct targets *tgs, struct ctx *ctx, uint32_t current, uint32_t alternate);
 
 /* Takes one retry from the service's budget; false when it is spent. */
 bool target_take_retry(struct targets *tgs, struct ctx *ctx, const struct service *svc);
 
-/* Evidence from traffic that this instance handled. */
+/*
+ * Evidence from traffic that this instance handled. Flows are counted by the instance that sends
+ * the opening, from target_opened() to target_closed(); the fabric sprays openings evenly, so one
+ * instance has about 1 / members_count() of the flows of the group.
+ */
 void target_opened(struct targets *tgs, struct ctx *ctx, uint32_t target);
 void target_accepted(struct targets *tgs, struct ctx *ctx, uint32_t target);
 void target_shed(struct targets *tgs, struct ctx *ctx, uint32_t target);
