route: confirm entries once after a change of home or mode

A home that is new, or whose bucket was single, does not know the flows at the base of the bucket. Members now ask once for entries that are older than the change. While a shard is guarded, payload needs an acceptance that was seen on this side of the partition.

--- a/decide.c
+++ b/decide.c
@@ -126,6 +126,13 @@
 	if (flow) {
 		if (target_fate(homes, flow->target) != TARGET_FINE)
 			return DECIDE_TERMINATE;
+		/*
+		 * The other side of a partition may have opened the flow at another target. An
+		 * acceptance seen on this side shows that it was this one that the caller heard.
+		 */
+		if (shard->lead->guarded && !flow_trusted(flow) &&
+		    shard->owner->addr.proto == IPPROTO_TCP)
+			return DECIDE_ASK;
 		if (payload_len)
 			flow->flags |= FLOW_PAYLOAD;
 		*out = flow;
--- a/follow.c
+++ b/follow.c
@@ -77,9 +77,11 @@
 }
 
 /* Applies an announcement of the term in force. Returns false when an earlier one is missing. */
-static bool apply(struct homes *homes, struct shard *shard, const peer_shard_announce *ann)
+static bool apply(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		  const peer_shard_announce *ann)
 {
 	bool same = shard->term == ann->shard.term && shard->home == ann->shard.home;
+	uint32_t now_ms = flowtab_ms(homes->tab, ctx->now);
 
 	if (same && ann->shard.epoch <= shard->epoch)
 		return true; /* repeated: acknowledged again, with the recent flows */
@@ -87,6 +89,10 @@
 		return false;
 	if (!follow_take_buckets(homes, shard, ann->buckets.buckets_val, ann->buckets.buckets_len))
 		return false;
+	for (uint32_t b = 0; !same && b < BUCKETS_PER_SHARD; b++)
+		shard->confirm_ms[b] = now_ms;
+	for (u_int i = 0; same && i < ann->buckets.buckets_len; i++)
+		shard->confirm_ms[ann->buckets.buckets_val[i].index_mode >> 8] = now_ms;
 	shard->term = ann->shard.term;
 	shard->home = ann->shard.home;
 	shard->epoch = ann->shard.epoch;
@@ -117,7 +123,7 @@
 	}
 	if (homes->leaving && shard->home == members_self(homes->mem))
 		ctx->counters->handovers++;
-	if (!apply(homes, shard, ann)) {
+	if (!apply(homes, ctx, shard, ann)) {
 		header = fence_header(shard);
 		if (shard->term == header.term && shard->home == header.home)
 			header.epoch = shard->epoch;
@@ -205,6 +211,8 @@
 					  state->buckets.buckets_len))
 		return;
 	if (newer) {
+		for (uint32_t b = 0; b < BUCKETS_PER_SHARD; b++)
+			shard->confirm_ms[b] = flowtab_ms(homes->tab, ctx->now);
 		shard->term = state->shard.term;
 		shard->home = state->shard.home;
 		shard->epoch = state->shard.epoch;
--- a/query.c
+++ b/query.c
@@ -139,7 +139,7 @@
 	enum decision why;
 	uint32_t target;
 
-	if (!flow && query->found) {
+	if (query->found && (!flow || (query->trusted && !flow_trusted(flow)))) {
 		target = pin_target(homes, shard, &query->best);
 		if (target != TARGET_NONE)
 			flow = flow_set(homes, ctx, shard, query->hash, target,
@@ -149,7 +149,7 @@
 		route_terminate(ctx, pkt);
 		return;
 	}
-	if (flow && (flow_trusted(flow) || acting)) {
+	if (flow && (flow_trusted(flow) || (acting && !shard->lead->guarded))) {
 		route_forward(homes, ctx, shard, flow, pkt);
 		return;
 	}
--- a/route.c
+++ b/route.c
@@ -184,16 +184,25 @@
 	}
 }
 
+/* Whether an entry is young enough to be used without asking the home of its shared bucket. */
+static bool entry_fresh(const struct homes *homes, const struct ctx *ctx, const struct shard *shard,
+			const struct flow *flow)
+{
+	uint32_t confirm_ms = shard->confirm_ms[bucket_of(flow->hash) % BUCKETS_PER_SHARD];
+
+	return (flow->flags & FLOW_HELD) ||
+	       (flowtab_ms(homes->tab, ctx->now) - flow->used_ms <= REVALIDATE_MS &&
+		(int32_t)(flow->used_ms - confirm_ms) >= 0);
+}
+
 /* Whether the entry alone says where a packet goes that the shard's home would have to judge. */
-static bool entry_holds(struct homes *homes, const struct ctx *ctx, const struct flow *flow,
-			const struct packet *pkt)
+static bool entry_holds(const struct homes *homes, const struct ctx *ctx, const struct shard *shard,
+			const struct flow *flow, const struct packet *pkt)
 {
 	if (pkt->kind == PACKET_OPENING)
 		return flow->opening_id == pkt->opening_id &&
 		       (flow_trusted(flow) || (flow->flags & FLOW_HELD));
-	return flow_trusted(flow) &&
-	       ((flow->flags & FLOW_HELD) ||
-		flowtab_ms(homes->tab, ctx->now) - flow->used_ms <= REVALIDATE_MS);
+	return flow_trusted(flow) && entry_fresh(homes, ctx, shard, flow);
 }
 
 void route_packet(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
@@ -221,7 +230,7 @@
 		route_as_home(homes, ctx, shard, hash, pkt);
 		return;
 	}
-	if (flow && entry_holds(homes, ctx, flow, pkt) &&
+	if (flow && entry_holds(homes, ctx, shard, flow, pkt) &&
 	    target_fate(homes, flow->target) == TARGET_FINE) {
 		route_forward(homes, ctx, shard, flow, pkt);
 		return;
@@ -297,8 +306,7 @@
 		return;
 	}
 	if (flow && flow_trusted(flow) && ans->kind != ANSWER_REFUSED &&
-	    ((flow->flags & FLOW_HELD) ||
-	     flowtab_ms(homes->tab, ctx->now) - flow->used_ms <= REVALIDATE_MS) &&
+	    entry_fresh(homes, ctx, shard, flow) &&
 	    (ans->kind != ANSWER_ACCEPTED || ans->opening_id == flow->opening_id)) {
 		if (flow->target == target)
 			route_to_caller(homes, ctx, flow, ans);
--- a/shard.h
+++ b/shard.h
@@ -130,6 +130,12 @@
 	struct timespec next_refresh;
 	uint32_t refresh_cursor;
 	struct bucket buckets[BUCKETS_PER_SHARD];
+	/*
+	 * Entries last used before this (time of the flow cache) are confirmed by the home once:
+	 * a home that is new, or whose bucket was single, does not know the flows at the base, and
+	 * could otherwise choose another target for a new flow with the same key.
+	 */
+	uint32_t confirm_ms[BUCKETS_PER_SHARD];
 	struct shard_lead *lead;
 };
 
