fuzz: add entry points for packets and peer messages

Cause: bytes from the network reach both parsers.

Change: "make fuzz" runs t/fuzz-*.c with libFuzzer, or with a plain driver where its runtime is missing. Found inputs are kept under t/corpus. The first run found that a config digest of 16 bytes could claim 67 million versions and took 6.6 s to refuse; the schema now bounds the list at 2048.

Ruled out: a bound on decoded bytes in peer_msg_decode(); XDR allocates before it reads, so the schema has to say the limit.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 BUILTIN_SRCS = $(wildcard builtin/*.c)
 TEST_SRCS = $(wildcard t/test-*.c)
 BENCH_SRCS = $(wildcard t/bench-*.c)
+FUZZ_SRCS = $(wildcard t/fuzz-*.c)
 HELPER_SRCS = $(wildcard t/helper/*.c)
 
 LIB_OBJS = $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GEN_SRCS:%.c=$(BUILD)/%.o)
@@ -25,7 +26,8 @@
 HELPER_OBJS = $(HELPER_SRCS:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRCS:t/%.c=$(BUILD)/t/%)
 
-OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(BENCH_SRCS) $(HELPER_SRCS)
+OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(BENCH_SRCS) $(FUZZ_SRCS) \
+	t/plain-fuzzer.c $(HELPER_SRCS)
 OUR_FILES = $(OUR_SRCS) $(wildcard *.h builtin/*.h t/*.h t/helper/*.h)
 
 all: jujubestage $(if $(HELPER_SRCS),$(BUILD)/standin)
@@ -68,6 +70,36 @@
 bench: $(BENCH_SRCS:t/%.c=$(BUILD)/t/%)
 	@for b in $^; do $$b || exit 1; done
 
+# Fuzzing with libFuzzer, or with a plain driver where clang's runtime for it is missing. New
+# inputs are kept in build/fuzz/corpus; copy what shows a fault to t/corpus.
+FUZZ_SECONDS ?= 60
+FUZZ_NAMES = $(FUZZ_SRCS:t/fuzz-%.c=%)
+FUZZ_SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+fuzz:
+	@if echo 'int LLVMFuzzerTestOneInput(void); int LLVMFuzzerTestOneInput(void) { return 0; }' | \
+		clang -fsanitize=fuzzer -x c -o /dev/null - 2>/dev/null; then \
+		$(MAKE) --no-print-directory fuzz-run BUILD=$(BUILD)/fuzz CC=clang \
+			FUZZ_LINK=-fsanitize=fuzzer \
+			CFLAGS="-O1 -g -fsanitize=fuzzer-no-link $(FUZZ_SANITIZE)"; \
+	else \
+		$(MAKE) --no-print-directory fuzz-run BUILD=$(BUILD)/fuzz \
+			FUZZ_DRIVER=$(BUILD)/fuzz/t/plain-fuzzer.o CFLAGS="-O1 -g $(FUZZ_SANITIZE)"; \
+	fi
+
+fuzz-run: $(FUZZ_NAMES:%=$(BUILD)/t/fuzz-%) $(FUZZ_DRIVER)
+	@for n in $(FUZZ_NAMES); do \
+		mkdir -p $(BUILD)/corpus/$$n; \
+		echo "fuzz-$$n: $(FUZZ_SECONDS) s"; \
+		$(BUILD)/t/fuzz-$$n -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 \
+			-artifact_prefix=$(BUILD)/ $(BUILD)/corpus/$$n t/corpus/$$n \
+			>$(BUILD)/fuzz-$$n.log 2>&1 || \
+			{ tail -40 $(BUILD)/fuzz-$$n.log; exit 1; }; \
+		grep -E '^stat::|inputs' $(BUILD)/fuzz-$$n.log || true; \
+	done
+
+$(BUILD)/t/fuzz-%: $(BUILD)/t/fuzz-%.o $(BUILD)/libjujubestage.a $(FUZZ_DRIVER)
+	$(CC) $(CFLAGS) $(FUZZ_LINK) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 demo: deps
 	@$(MAKE) --no-print-directory all
 	@scripts/demo
@@ -101,5 +133,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps test tests bench demo format check-format lint generate check-generated clean
+.PHONY: all deps test tests bench fuzz fuzz-run demo format check-format lint generate check-generated clean
 .SECONDARY:
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -227,6 +227,7 @@
 	u_quad_t generation;
 };
 typedef struct peer_object_version peer_object_version;
+#define PEER_MAX_VERSIONS 2048
 
 struct peer_config_digest {
 	u_quad_t digest;
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -182,9 +182,12 @@
 	unsigned hyper generation;
 };
 
+/* More than the objects of the fleet, and about what one datagram holds. */
+const PEER_MAX_VERSIONS = 2048;
+
 struct peer_config_digest {
 	unsigned hyper digest;
-	peer_object_version versions<>;
+	peer_object_version versions<PEER_MAX_VERSIONS>;
 };
 
 struct peer_config_pull {
--- a/t/bench-forward.c
+++ b/t/bench-forward.c
@@ -59,7 +59,7 @@
 
 static int open_any(struct endpoint *ep)
 {
-	struct sockaddr_in sa;
+	struct sockaddr_in sa = { 0 };
 	socklen_t len = sizeof(sa);
 	int fd = udp_open((struct endpoint){ LOOPBACK, 0 });
 
@@ -72,7 +72,7 @@
 /* A free address: an unused port, as the socket is closed again. */
 static struct endpoint free_ep(void)
 {
-	struct endpoint ep;
+	struct endpoint ep = { 0 };
 
 	close(open_any(&ep));
 	return ep;
