loop: move the path of packets into its own module

Change: dataplane.c reads batches, runs the core and sends what it decided; loop.c keeps the context, timers, peers and the planned stop.

Conclusion: no change of behaviour.

--- /dev/null
+++ b/dataplane.h
@@ -0,0 +1,42 @@
+/*
+ * The path of packets: batches from the packet and answer sockets through the core, and what the
+ * core has decided to the targets and callers.
+ */
+#ifndef DATAPLANE_H
+#define DATAPLANE_H
+
+#include "core.h"
+#include "udp.h"
+
+/* Longest datagram of the fabric and of targets: a packet that can be passed on, and GUE. */
+#define DATAPLANE_BUFFER_BYTES 2304
+
+struct dataplane {
+	struct core *core;
+	struct endpoint egress; /* where packets to callers go */
+	int packets;		/* socket of callers' packets; packets to callers leave from it */
+	int answers;		/* socket of targets' answers; packets to targets leave from it */
+	struct udp_in in;
+	struct udp_out to_targets;
+	struct udp_out to_callers;
+};
+
+void dataplane_init(struct dataplane *dp, struct core *core, struct endpoint egress, int packets,
+		    int answers);
+void dataplane_release(struct dataplane *dp);
+
+/*
+ * Reads one batch from a socket and gives it to the core. Returns the number of datagrams, or a
+ * negative errno.
+ */
+int dataplane_read_packets(struct dataplane *dp, struct timespec now, struct actions *acts);
+int dataplane_read_answers(struct dataplane *dp, struct timespec now, struct actions *acts);
+
+/* Executes an ACTION_FORWARD, ACTION_ANSWER or ACTION_REFUSE of @acts. */
+void dataplane_execute(struct dataplane *dp, const struct actions *acts, const struct action *act);
+/* Sends what is left; @acts may be reset afterwards. */
+void dataplane_flush(struct dataplane *dp, const struct actions *acts);
+/* Packets that the kernel did not take for sending. */
+uint64_t dataplane_lost(const struct dataplane *dp);
+
+#endif
--- a/loop.c
+++ b/loop.c
@@ -5,14 +5,11 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include "dataplane.h"
 #include "log.h"
 #include "probe.h"
-#include "udp.h"
-#include "wire-gue.h"
 
-/* Longest datagram of the fabric and of targets: a passed-on packet and its GUE header. */
-#define PACKET_BUFFER_BYTES 2304
-#define PEER_BUFFER_BYTES   65536
+#define PEER_BUFFER_BYTES 65536
 /* Batches read from one socket before the others get their turn. */
 #define ROUNDS_PER_WAKEUP 4
 
@@ -49,10 +46,8 @@
 	struct source answers;
 	struct source peers;
 	struct source signals;
-	struct udp_in packets_in; /* of both packet sockets */
+	struct dataplane dp;
 	struct udp_in peers_in;
-	struct udp_out to_targets;
-	struct udp_out to_callers;
 	struct actions acts;
 	bool executing;
 	bool leaving;
@@ -116,34 +111,6 @@
 	loop_post(loop, &ev);
 }
 
-static void send_packet(struct loop *loop, struct udp_out *out, struct endpoint dst,
-			int32_t deadline_ms, const struct action *act)
-{
-	uint8_t *header;
-
-	if (udp_out_full(out))
-		udp_out_flush(out, loop->acts.data->data);
-	header = udp_out_add(out, dst, act->offset, act->len);
-	udp_out_header(out, gue_build(header, deadline_ms));
-}
-
-static void send_reset(struct loop *loop, const struct action *act)
-{
-	struct udp_out *out = &loop->to_callers;
-	uint8_t rst[RST_BYTES];
-	uint8_t *header;
-	size_t len;
-
-	if (rst_build(action_bytes(&loop->acts, act), act->len, rst) != WIRE_OK)
-		return;
-	if (udp_out_full(out))
-		udp_out_flush(out, loop->acts.data->data);
-	header = udp_out_add(out, loop->set->egress, 0, 0);
-	len = gue_build(header, NO_DEADLINE);
-	memcpy(header + len, rst, sizeof(rst));
-	udp_out_header(out, len + sizeof(rst));
-}
-
 static void stop_complete(struct loop *loop)
 {
 	if (loop->stopped)
@@ -161,13 +128,9 @@
 
 	switch (act->type) {
 	case ACTION_FORWARD:
-		send_packet(loop, &loop->to_targets, act->target, act->deadline_ms, act);
-		break;
 	case ACTION_ANSWER:
-		send_packet(loop, &loop->to_callers, loop->set->egress, NO_DEADLINE, act);
-		break;
 	case ACTION_REFUSE:
-		send_reset(loop, act);
+		dataplane_execute(&loop->dp, &loop->acts, act);
 		break;
 	case ACTION_PEER_SEND:
 		peer_send(loop->peer, act->dst, bytes, act->len);
@@ -204,8 +167,7 @@
 
 		execute_one(loop, &act);
 	}
-	udp_out_flush(&loop->to_targets, loop->acts.data->data);
-	udp_out_flush(&loop->to_callers, loop->acts.data->data);
+	dataplane_flush(&loop->dp, &loop->acts);
 	actions_reset(&loop->acts);
 	loop->executing = false;
 }
@@ -221,60 +183,22 @@
 		execute(loop);
 }
 
-static void count_rejected(struct loop *loop, enum wire_status st)
-{
-	struct counters *cnt = core_counters(loop->core);
-
-	if (st == WIRE_FRAGMENT)
-		cnt->drop_fragment++;
-	else
-		cnt->drop_malformed++;
-}
-
 static void packets_readable(struct loop *loop)
 {
-	struct event ev = { .type = EVENT_PACKET };
-	const uint8_t *bytes;
-	struct endpoint src;
-	size_t len;
-
-	for (int round = 0, nr = UDP_BATCH; round < ROUNDS_PER_WAKEUP && nr == UDP_BATCH; round++) {
-		nr = udp_in_receive(&loop->packets_in, loop->packets.fd);
-		ev.now = loop_now(loop);
-		for (int i = 0; i < nr; i++) {
-			enum wire_status st = WIRE_MALFORMED;
+	int nr = UDP_BATCH;
 
-			if (udp_in_at(&loop->packets_in, i, &bytes, &len, &src))
-				st = wire_parse_packet(bytes, len, &ev.packet);
-			if (st == WIRE_OK)
-				core_handle(loop->core, &ev, &loop->acts);
-			else
-				count_rejected(loop, st);
-		}
+	for (int round = 0; round < ROUNDS_PER_WAKEUP && nr == UDP_BATCH; round++) {
+		nr = dataplane_read_packets(&loop->dp, loop_now(loop), &loop->acts);
 		execute(loop);
 	}
 }
 
 static void answers_readable(struct loop *loop)
 {
-	struct event ev = { .type = EVENT_ANSWER };
-	const uint8_t *bytes;
-	struct endpoint src;
-	size_t len;
-
-	for (int round = 0, nr = UDP_BATCH; round < ROUNDS_PER_WAKEUP && nr == UDP_BATCH; round++) {
-		nr = udp_in_receive(&loop->packets_in, loop->answers.fd);
-		ev.now = loop_now(loop);
-		for (int i = 0; i < nr; i++) {
-			enum wire_status st = WIRE_MALFORMED;
+	int nr = UDP_BATCH;
 
-			if (udp_in_at(&loop->packets_in, i, &bytes, &len, &src))
-				st = wire_parse_answer(bytes, len, src, &ev.answer);
-			if (st == WIRE_OK)
-				core_handle(loop->core, &ev, &loop->acts);
-			else
-				count_rejected(loop, st);
-		}
+	for (int round = 0; round < ROUNDS_PER_WAKEUP && nr == UDP_BATCH; round++) {
+		nr = dataplane_read_answers(&loop->dp, loop_now(loop), &loop->acts);
 		execute(loop);
 	}
 }
@@ -530,7 +454,6 @@
 	};
 	loop->peer = peer_new(&peer);
 	actions_init(&loop->acts);
-	udp_in_init(&loop->packets_in, PACKET_BUFFER_BYTES);
 	udp_in_init(&loop->peers_in, PEER_BUFFER_BYTES);
 	ret = open_context(loop);
 	if (!ret)
@@ -539,8 +462,8 @@
 		loop_free(loop);
 		return ret;
 	}
-	udp_out_init(&loop->to_targets, loop->answers.fd);
-	udp_out_init(&loop->to_callers, loop->packets.fd);
+	dataplane_init(&loop->dp, loop->core, opts->set->egress, loop->packets.fd,
+		       loop->answers.fd);
 	lws_sul_schedule(loop->context, 0, &loop->timer, timer_due, 1);
 	*res = loop;
 	return 0;
@@ -559,7 +482,7 @@
 	peer_free(loop->peer);
 	core_free(loop->core);
 	g_hash_table_unref(loop->health);
-	udp_in_release(&loop->packets_in);
+	dataplane_release(&loop->dp);
 	udp_in_release(&loop->peers_in);
 	actions_release(&loop->acts);
 	g_free(loop);
@@ -625,7 +548,7 @@
 	*st = (struct loop_status){
 		.leaving = loop->leaving,
 		.platform_reachable = loop->platform_reachable,
-		.lost_packets = loop->to_targets.lost + loop->to_callers.lost,
+		.lost_packets = dataplane_lost(&loop->dp),
 		.calls_open = peer_calls_open(loop->peer),
 		.traffic = peer_traffic(loop->peer),
 		.start = loop->start,
