--- a/loop.c
+++ b/loop.c
@@ -140,7 +140,7 @@
 			  act->tries, bytes, act->len);
 		break;
 	case ACTION_PEER_REPLY:
-		peer_reply(loop->peer, act->dst, act->xid, bytes, act->len);
+		peer_send_reply(loop->peer, act->dst, act->xid, bytes, act->len);
 		break;
 	case ACTION_PROBE:
 		start_probe(loop, act->target);
--- a/peer.c
+++ b/peer.c
@@ -229,7 +229,7 @@
 	}
 }
 
-int peer_reply(struct peer *peer, uint32_t dst, uint32_t xid, const uint8_t *bytes, size_t len)
+int peer_send_reply(struct peer *peer, uint32_t dst, uint32_t xid, const uint8_t *bytes, size_t len)
 {
 	struct rpc_msg rpc = { .rm_xid = xid, .rm_direction = REPLY };
 	struct endpoint ep;
--- a/peer.h
+++ b/peer.h
@@ -38,7 +38,7 @@
 struct peer_handler;
 
 struct peer_handler_ops {
-	/* A message or call of @src; @xid is 0 or names the call in peer_reply(). */
+	/* A message or call of @src; @xid is 0 or names the call in peer_send_reply(). */
 	void (*message)(struct peer_handler *handler, uint32_t src, uint32_t xid,
 			const peer_msg *msg);
 	/* The one result of a peer_call(). @msg is NULL unless @status is CALL_OK. */
@@ -80,7 +80,8 @@
  * known.
  */
 int peer_send(struct peer *peer, uint32_t dst, const uint8_t *bytes, size_t len);
-int peer_reply(struct peer *peer, uint32_t dst, uint32_t xid, const uint8_t *bytes, size_t len);
+int peer_send_reply(struct peer *peer, uint32_t dst, uint32_t xid, const uint8_t *bytes,
+		    size_t len);
 
 /*
  * Calls @dst. The handler gets exactly one result, at the latest after @tries times 1.25
--- a/t/test-peer.c
+++ b/t/test-peer.c
@@ -326,16 +326,16 @@
 	g_assert_cmpuint(b.messages, ==, 1);
 	g_assert_cmpuint(b.out->len, ==, 0);
 	/* Another instance guesses the number of the call. */
-	g_assert_cmpint(peer_reply(c.peer, 1, b.last_xid, msg->data, msg->len), ==, 0);
+	g_assert_cmpint(peer_send_reply(c.peer, 1, b.last_xid, msg->data, msg->len), ==, 0);
 	deliver(&c, 0, &a);
 	g_assert_cmpuint(a.results, ==, 0);
-	g_assert_cmpint(peer_reply(b.peer, 1, b.last_xid, msg->data, msg->len), ==, 0);
+	g_assert_cmpint(peer_send_reply(b.peer, 1, b.last_xid, msg->data, msg->len), ==, 0);
 	deliver(&b, 0, &a);
 	g_assert_cmpuint(a.results, ==, 1);
 	g_assert_cmpint(a.last_status, ==, CALL_OK);
 	g_assert_cmpuint(a.last_call_id, ==, 42);
 	/* A second reply finds no call. */
-	g_assert_cmpint(peer_reply(b.peer, 1, b.last_xid, msg->data, msg->len), ==, 0);
+	g_assert_cmpint(peer_send_reply(b.peer, 1, b.last_xid, msg->data, msg->len), ==, 0);
 	deliver(&b, 1, &a);
 	peer_timer(a.peer, ts_add_ms(now, 10000));
 	g_assert_cmpuint(a.results, ==, 1);
@@ -358,7 +358,7 @@
 	node_init(&b, 2, 1, keys, 1);
 	peer_call(a.peer, now, 2, 42, 100, 3, msg->data, msg->len);
 	deliver(&a, 0, &b);
-	peer_reply(b.peer, 1, b.last_xid, msg->data, msg->len);
+	peer_send_reply(b.peer, 1, b.last_xid, msg->data, msg->len);
 	peer_timer(a.peer, ts_add_ms(now, 130));
 	deliver(&a, 1, &b);
 	g_assert_cmpuint(b.messages, ==, 1);
@@ -423,7 +423,7 @@
 	g_assert_cmpint(peer_send(a.peer, 2, bytes, PEER_MAX_MESSAGE), ==, 0);
 	g_assert_cmpuint(node_sent(&a, 0)->bytes->len, ==, PEER_MAX_DATAGRAM);
 	g_assert_cmpint(peer_send(a.peer, 2, bytes, PEER_MAX_MESSAGE + 1), ==, -EMSGSIZE);
-	g_assert_cmpint(peer_reply(a.peer, 2, 1, bytes, PEER_MAX_MESSAGE + 1), ==, -EMSGSIZE);
+	g_assert_cmpint(peer_send_reply(a.peer, 2, 1, bytes, PEER_MAX_MESSAGE + 1), ==, -EMSGSIZE);
 	g_assert_cmpint(peer_send(a.peer, 2, bytes, 3), ==, -EBADMSG);
 	g_assert_cmpint(peer_send(a.peer, 9, bytes, 4), ==, -EHOSTUNREACH);
 	g_assert_cmpuint(a.out->len, ==, 1);
