dataplane: write headers in front of the inner packet

Cause: each forwarded packet went to the kernel in two pieces.

Change: actions keep 12 bytes free in front of their bytes; the GUE header is written there, and a datagram is one piece. The bare forwarder of the benchmark sends one piece too, so that it does as little as can be.

Ruled out: copying packets once more into a buffer of their own.

--- a/dataplane.c
+++ b/dataplane.c
@@ -73,45 +73,45 @@
 	return nr;
 }
 
-static void send_packet(struct udp_out *out, const struct actions *acts, struct endpoint dst,
-			int32_t deadline_ms, const struct action *act)
+_Static_assert(GUE_MAX_BYTES <= ACTION_HEADROOM, "the GUE header is written in front");
+
+/* Sends @len bytes at @offset of the actions' data with a GUE header in front of them. */
+static void send_inner(struct udp_out *out, struct actions *acts, struct endpoint dst,
+		       int32_t deadline_ms, size_t offset, size_t len)
 {
-	uint8_t *header;
+	size_t head = deadline_ms == NO_DEADLINE ? GUE_BASE_BYTES : GUE_MAX_BYTES;
 
 	if (udp_out_full(out))
 		udp_out_flush(out, acts->data->data);
-	header = udp_out_add(out, dst, act->offset, act->len);
-	udp_out_header(out, gue_build(header, deadline_ms));
+	gue_build(acts->data->data + offset - head, deadline_ms);
+	udp_out_add(out, dst, offset - head, head + len);
 }
 
-static void send_reset(struct udp_out *out, const struct actions *acts, struct endpoint dst,
+static void send_reset(struct udp_out *out, struct actions *acts, struct endpoint dst,
 		       const struct action *act)
 {
+	size_t offset = acts->data->len + ACTION_HEADROOM;
 	uint8_t rst[RST_BYTES];
-	uint8_t *header;
-	size_t len;
 
 	if (rst_build(action_bytes(acts, act), act->len, rst) != WIRE_OK)
 		return;
-	if (udp_out_full(out))
-		udp_out_flush(out, acts->data->data);
-	header = udp_out_add(out, dst, 0, 0);
-	len = gue_build(header, NO_DEADLINE);
-	memcpy(header + len, rst, sizeof(rst));
-	udp_out_header(out, len + sizeof(rst));
+	g_byte_array_set_size(acts->data, (guint)(offset + sizeof(rst)));
+	memcpy(acts->data->data + offset, rst, sizeof(rst));
+	send_inner(out, acts, dst, NO_DEADLINE, offset, sizeof(rst));
 }
 
-void dataplane_execute(struct dataplane *dp, const struct actions *acts, const struct action *act)
+void dataplane_execute(struct dataplane *dp, struct actions *acts, const struct action *act)
 {
 	if (act->type == ACTION_FORWARD)
-		send_packet(&dp->to_targets, acts, act->target, act->deadline_ms, act);
+		send_inner(&dp->to_targets, acts, act->target, act->deadline_ms, act->offset,
+			   act->len);
 	else if (act->type == ACTION_ANSWER)
-		send_packet(&dp->to_callers, acts, dp->egress, NO_DEADLINE, act);
+		send_inner(&dp->to_callers, acts, dp->egress, NO_DEADLINE, act->offset, act->len);
 	else if (act->type == ACTION_REFUSE)
 		send_reset(&dp->to_callers, acts, dp->egress, act);
 }
 
-void dataplane_flush(struct dataplane *dp, const struct actions *acts)
+void dataplane_flush(struct dataplane *dp, struct actions *acts)
 {
 	udp_out_flush(&dp->to_targets, acts->data->data);
 	udp_out_flush(&dp->to_callers, acts->data->data);
--- a/dataplane.h
+++ b/dataplane.h
@@ -32,10 +32,13 @@
 int dataplane_read_packets(struct dataplane *dp, struct timespec now, struct actions *acts);
 int dataplane_read_answers(struct dataplane *dp, struct timespec now, struct actions *acts);
 
-/* Executes an ACTION_FORWARD, ACTION_ANSWER or ACTION_REFUSE of @acts. */
-void dataplane_execute(struct dataplane *dp, const struct actions *acts, const struct action *act);
+/*
+ * Executes an ACTION_FORWARD, ACTION_ANSWER or ACTION_REFUSE of @acts; headers are written into the
+ * headroom of its bytes.
+ */
+void dataplane_execute(struct dataplane *dp, struct actions *acts, const struct action *act);
 /* Sends what is left; @acts may be reset afterwards. */
-void dataplane_flush(struct dataplane *dp, const struct actions *acts);
+void dataplane_flush(struct dataplane *dp, struct actions *acts);
 /* Packets that the kernel did not take for sending. */
 uint64_t dataplane_lost(const struct dataplane *dp);
 
--- a/event.c
+++ b/event.c
@@ -28,10 +28,12 @@
 
 void actions_add(struct actions *acts, struct action act, const uint8_t *bytes, size_t len)
 {
-	act.offset = acts->data->len;
+	act.offset = acts->data->len + ACTION_HEADROOM;
 	act.len = len;
-	if (len)
-		g_byte_array_append(acts->data, bytes, (guint)len);
+	if (len) {
+		g_byte_array_set_size(acts->data, (guint)(act.offset + len));
+		memcpy(acts->data->data + act.offset, bytes, len);
+	}
 	g_array_append_val(acts->list, act);
 }
 
--- a/event.h
+++ b/event.h
@@ -125,6 +125,12 @@
 	size_t len;
 };
 
+/*
+ * Bytes left free in front of an action's bytes, so that the adapter writes the header of the
+ * datagram there and sends it from one place.
+ */
+#define ACTION_HEADROOM 12
+
 /* Counted list of actions with the bytes that they carry; reused from event to event. */
 struct actions {
 	GArray *list;	  /* struct action */
--- a/t/bench-forward.c
+++ b/t/bench-forward.c
@@ -44,7 +44,7 @@
 	struct udp_out bare_out;
 	struct udp_out feed;
 	struct udp_in drain;
-	uint8_t packets[UDP_BATCH][INNER_BYTES];
+	uint8_t packets[UDP_BATCH][GUE_BASE_BYTES + INNER_BYTES];
 	uint32_t flows;
 	uint64_t rng;
 	uint64_t lost;
@@ -278,10 +278,8 @@
 		uint32_t flow =
 			opening ? (first + i) % b->flows : (uint32_t)(next_random(b) % b->flows);
 
-		make_packet(b->packets[i], flow, opening);
-		udp_out_header(&b->feed,
-			       gue_build(udp_out_add(&b->feed, to, i * INNER_BYTES, INNER_BYTES),
-					 NO_DEADLINE));
+		make_packet(b->packets[i] + gue_build(b->packets[i], NO_DEADLINE), flow, opening);
+		udp_out_add(&b->feed, to, i * sizeof(b->packets[0]), sizeof(b->packets[0]));
 	}
 	udp_out_flush(&b->feed, b->packets[0]);
 }
--- a/udp.c
+++ b/udp.c
@@ -67,35 +67,22 @@
 	out->fd = fd;
 	for (int i = 0; i < UDP_BATCH; i++) {
 		out->names[i].sin_family = AF_INET;
-		out->iovs[i][0].iov_base = out->headers[i];
 		out->msgs[i].msg_hdr = (struct msghdr){
 			.msg_name = &out->names[i],
 			.msg_namelen = sizeof(out->names[i]),
-			.msg_iov = out->iovs[i],
-			.msg_iovlen = 2,
+			.msg_iov = &out->iovs[i],
+			.msg_iovlen = 1,
 		};
 	}
 }
 
-uint8_t *udp_out_add(struct udp_out *out, struct endpoint dst, size_t offset, size_t len)
-{
-	unsigned int i = out->nr++;
-
-	out->names[i].sin_addr.s_addr = htonl(dst.ip);
-	out->names[i].sin_port = htons(dst.port);
-	out->offsets[i] = offset;
-	out->iovs[i][0].iov_len = 0;
-	out->iovs[i][1].iov_len = len;
-	return out->headers[i];
-}
-
-void udp_out_flush(struct udp_out *out, uint8_t *bodies)
+void udp_out_flush(struct udp_out *out, uint8_t *buffer)
 {
 	unsigned int done = 0;
 	int nr;
 
 	for (unsigned int i = 0; i < out->nr; i++)
-		out->iovs[i][1].iov_base = bodies + out->offsets[i];
+		out->iovs[i].iov_base = buffer + out->offsets[i];
 	while (done < out->nr) {
 		nr = sendmmsg(out->fd, out->msgs + done, out->nr - done, MSG_DONTWAIT);
 		if (nr > 0) {
--- a/udp.h
+++ b/udp.h
@@ -12,8 +12,6 @@
 #include "packet.h"
 
 #define UDP_BATCH 64
-/* Room for what a sender in front of the datagram's body adds: GUE header, reset packet. */
-#define UDP_HEADER_BYTES 64
 /* Kernel buffer: some 20 ms of 200-byte packets at 200,000 a second, with the kernel's overhead. */
 #define UDP_BUFFER_BYTES (4 * 1024 * 1024)
 
@@ -46,13 +44,12 @@
 	return !(in->msgs[i].msg_hdr.msg_flags & MSG_TRUNC);
 }
 
-/* Datagrams to send. Bodies are given as offsets, because their buffer may move as it grows. */
+/* Datagrams to send, given as offsets into a buffer that may move as it grows. */
 struct udp_out {
 	int fd;
 	unsigned int nr;
 	size_t offsets[UDP_BATCH];
-	uint8_t headers[UDP_BATCH][UDP_HEADER_BYTES];
-	struct iovec iovs[UDP_BATCH][2];
+	struct iovec iovs[UDP_BATCH];
 	struct sockaddr_in names[UDP_BATCH];
 	struct mmsghdr msgs[UDP_BATCH];
 	uint64_t lost; /* datagrams that the kernel did not take */
@@ -65,18 +62,18 @@
 	return out->nr == UDP_BATCH;
 }
 
-/*
- * Adds a datagram to @dst: a header that the caller writes to the returned buffer and @len bytes
- * at @offset of the body buffer. @out must not be full.
- */
-uint8_t *udp_out_add(struct udp_out *out, struct endpoint dst, size_t offset, size_t len);
-/* Sets the length of the header of the datagram that was added last. */
-static inline void udp_out_header(struct udp_out *out, size_t len)
+/* Adds a datagram of @len bytes at @offset of the buffer, to @dst. @out must not be full. */
+static inline void udp_out_add(struct udp_out *out, struct endpoint dst, size_t offset, size_t len)
 {
-	out->iovs[out->nr - 1][0].iov_len = len;
+	unsigned int i = out->nr++;
+
+	out->names[i].sin_addr.s_addr = htonl(dst.ip);
+	out->names[i].sin_port = htons(dst.port);
+	out->offsets[i] = offset;
+	out->iovs[i].iov_len = len;
 }
 
-/* Sends everything; @bodies is the body buffer. */
-void udp_out_flush(struct udp_out *out, uint8_t *bodies);
+/* Sends everything; @buffer is where the offsets count from. */
+void udp_out_flush(struct udp_out *out, uint8_t *buffer);
 
 #endif
