org: add documents, templates and the operators' commands

Cause: operators of organisations and of the fleet need to change what is in force without losing or doubling a change, and to see whether it holds.

An order to drain an instance is signed by the fleet operator and names the instance's own last write, so that it cannot be used again.

Ruled out: numbering targets over all data centres, which renames servers when some are added; keeping parameters in each history entry, which costs 20 times their size; retrying a write without its version.

--- a/builtin/builtin.h
+++ b/builtin/builtin.h
@@ -24,5 +24,14 @@
 
 int cmd_help(int argc, char **argv);
 int cmd_version(int argc, char **argv);
+int cmd_check(int argc, char **argv);
+int cmd_dc(int argc, char **argv);
+int cmd_grants(int argc, char **argv);
+int cmd_instance(int argc, char **argv);
+int cmd_keygen(int argc, char **argv);
+int cmd_org(int argc, char **argv);
+int cmd_status(int argc, char **argv);
+int cmd_target(int argc, char **argv);
+int cmd_template(int argc, char **argv);
 
 #endif
--- a/builtin/list.c
+++ b/builtin/list.c
@@ -3,6 +3,15 @@
 const struct builtin builtins[] = {
 	{ "help", "list the commands", cmd_help },
 	{ "version", "print the version", cmd_version },
+	{ "check", "check settings, documents, templates and requests", cmd_check },
+	{ "dc", "withdraw and restore data centres", cmd_dc },
+	{ "grants", "set and show what each organisation may use", cmd_grants },
+	{ "instance", "drain an instance", cmd_instance },
+	{ "keygen", "make keys", cmd_keygen },
+	{ "org", "create, change and show organisations", cmd_org },
+	{ "status", "show the instances", cmd_status },
+	{ "target", "drain and undrain targets", cmd_target },
+	{ "template", "list and show templates", cmd_template },
 };
 
 const unsigned int nr_builtins = sizeof(builtins) / sizeof(builtins[0]);
--- a/feed.c
+++ b/feed.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "address.h"
+#include "document.h"
 
 #define REQUEST_ID_BYTES 8
 #define DIRECT_RETRIES	 3 /* writes after a conflict before the next one waits */
@@ -37,7 +38,9 @@
 	struct platform_call *reg_call;
 	lws_sorted_usec_list_t reg_timer;
 	GString *reg_version;
-	char request_id[2 * REQUEST_ID_BYTES + 1];
+	char request_id[2 * REQUEST_ID_BYTES + 1]; /* of the write under way */
+	char written_id[2 * REQUEST_ID_BYTES + 1]; /* of the last one that took effect */
+	bool ordered;				   /* to drain */
 	enum instance_phase writing;
 	enum instance_phase written;
 	bool registered;
@@ -113,6 +116,7 @@
 {
 	g_string_assign(feed->reg_version, version);
 	feed->written = feed->writing;
+	g_strlcpy(feed->written_id, feed->request_id, sizeof(feed->written_id));
 	feed->registered = true;
 	feed->conflicts = 0;
 	feed->reg_retry_ms = FEED_RETRY_MIN_MS;
@@ -122,6 +126,27 @@
 		schedule(feed, &feed->reg_timer, on_reg_timer, RENEW_MS);
 }
 
+/*
+ * An order to drain counts when the fleet operator signed it for an entry that this process wrote;
+ * one for an earlier process of the same name does not.
+ */
+static void check_order(struct feed *feed, json_object *entry)
+{
+	json_object *order = json_object_object_get(entry, "order");
+	struct event ev = { .type = EVENT_SHUTDOWN };
+	json_object *doc;
+
+	if (!order || !feed->opts.fleet_key || feed->ordered || !*feed->written_id)
+		return;
+	doc = document_open(order, feed->opts.fleet_key);
+	if (doc && !strcmp(json_str(doc, "drain"), feed->opts.self.name) &&
+	    !strcmp(json_str(doc, "entry"), feed->written_id)) {
+		feed->ordered = true;
+		emit(feed, &ev);
+	}
+	json_object_put(doc);
+}
+
 /* Our write took effect if the entry has its request id; otherwise it is written again. */
 static void on_entry_read(void *arg, const struct platform_result *res)
 {
@@ -131,8 +156,9 @@
 	feed->reg_call = NULL;
 	note_status(feed, res->status);
 	if (res->status == CALL_OK) {
-		id = json_object_get_string(json_object_object_get(res->body, "request_id"));
-		if (!g_strcmp0(id, feed->request_id)) {
+		check_order(feed, res->body);
+		id = json_str(res->body, "request_id");
+		if (!strcmp(id, feed->request_id)) {
 			entry_written(feed, res->version);
 			return;
 		}
@@ -213,6 +239,8 @@
 
 	if (!instance_from_json(obj, &info, &admin))
 		return;
+	if (!strcmp(info.name, feed->opts.self.name))
+		check_order(feed, obj);
 	entry = g_hash_table_lookup(feed->entries, info.name);
 	if (!entry) {
 		entry = g_new0(struct entry, 1);
--- a/feed.h
+++ b/feed.h
@@ -1,7 +1,8 @@
 /*
  * Connects a balancer to the platform: registers and renews its own entry in the list of
  * instances, reads that list, and watches the configuration objects while it is told to. Results
- * are EVENT_OBJECT, EVENT_INSTANCES and EVENT_PLATFORM.
+ * are EVENT_OBJECT, EVENT_INSTANCES and EVENT_PLATFORM, and EVENT_SHUTDOWN when the fleet operator
+ * has ordered this instance to drain ("jujubestage instance drain").
  */
 #ifndef FEED_H
 #define FEED_H
@@ -27,7 +28,8 @@
 	struct clock *clock;
 	struct random *random;
 	struct instance_info self;
-	struct endpoint admin; /* where it serves its status, for operators' tools */
+	struct endpoint admin;	  /* where it serves its status, for operators' tools */
+	const uint8_t *fleet_key; /* verifies orders to drain; NULL ignores them */
 	/* Called from the loop; the event's pointers are valid during the call. */
 	void (*event)(void *arg, const struct event *ev);
 	void *arg;
--- a/instance.c
+++ b/instance.c
@@ -3,6 +3,7 @@
 
 #include "address.h"
 #include "feed.h"
+#include "jsontext.h"
 
 static const char *const phases[] = {
 	[INSTANCE_LIVE] = "live",
@@ -10,25 +11,17 @@
 	[INSTANCE_GONE] = "gone",
 };
 
-static const char *text_of(json_object *obj, const char *key)
-{
-	json_object *value = json_object_object_get(obj, key);
-
-	return value && json_object_is_type(value, json_type_string) ? json_object_get_string(value)
-								     : "";
-}
-
 bool instance_from_json(json_object *obj, struct instance_info *info, struct endpoint *admin)
 {
 	json_object *id = json_object_object_get(obj, "id");
-	const char *phase = text_of(obj, "phase");
+	const char *phase = json_str(obj, "phase");
 	bool known = false;
 
 	*info = (struct instance_info){ 0 };
 	if (!id || !json_object_is_type(id, json_type_int) || json_object_get_int64(id) < 1 ||
 	    json_object_get_int64(id) > UINT32_MAX ||
-	    !endpoint_parse(text_of(obj, "peer"), &info->peer) ||
-	    !endpoint_parse(text_of(obj, "admin"), admin))
+	    !endpoint_parse(json_str(obj, "peer"), &info->peer) ||
+	    !endpoint_parse(json_str(obj, "admin"), admin))
 		return false;
 	info->id = (uint32_t)json_object_get_int64(id);
 	for (size_t i = 0; i < G_N_ELEMENTS(phases); i++) {
@@ -39,9 +32,9 @@
 	}
 	return known &&
 	       g_strlcpy(info->name, platform_name(obj), sizeof(info->name)) < sizeof(info->name) &&
-	       g_strlcpy(info->group, text_of(obj, "group"), sizeof(info->group)) <
+	       g_strlcpy(info->group, json_str(obj, "group"), sizeof(info->group)) <
 		       sizeof(info->group) &&
-	       g_strlcpy(info->data_centre, text_of(obj, "data_centre"),
+	       g_strlcpy(info->data_centre, json_str(obj, "data_centre"),
 			 sizeof(info->data_centre)) < sizeof(info->data_centre);
 }
 
--- a/jsontext.c
+++ b/jsontext.c
@@ -244,3 +244,52 @@
 	g_free(part);
 	return line;
 }
+
+static json_object *field(json_object *obj, const char *key, json_type type)
+{
+	json_object *value = NULL;
+
+	if (!obj || !json_object_is_type(obj, json_type_object) ||
+	    !json_object_object_get_ex(obj, key, &value) || !json_object_is_type(value, type))
+		return NULL;
+	return value;
+}
+
+const char *json_str(json_object *obj, const char *key)
+{
+	json_object *value = field(obj, key, json_type_string);
+
+	return value ? json_object_get_string(value) : "";
+}
+
+uint64_t json_num(json_object *obj, const char *key)
+{
+	json_object *value = field(obj, key, json_type_int);
+
+	return value && json_object_get_int64(value) > 0 ? json_object_get_uint64(value) : 0;
+}
+
+size_t json_len(json_object *obj, const char *key)
+{
+	json_object *value = field(obj, key, json_type_array);
+
+	return value ? json_object_array_length(value) : 0;
+}
+
+json_object *json_item(json_object *obj, const char *key, size_t i)
+{
+	return i < json_len(obj, key)
+		       ? json_object_array_get_idx(field(obj, key, json_type_array), i)
+		       : NULL;
+}
+
+json_object *json_find(json_object *obj, const char *key, const char *name_key, const char *name)
+{
+	for (size_t i = 0; i < json_len(obj, key); i++) {
+		json_object *item = json_item(obj, key, i);
+
+		if (!strcmp(json_str(item, name_key), name))
+			return item;
+	}
+	return NULL;
+}
--- a/jsontext.h
+++ b/jsontext.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <json-c/json.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "fault.h"
 
@@ -34,4 +35,14 @@
 /* Line of a dotted path, or of the nearest object or array around it. */
 unsigned int json_text_line(const struct json_text *text, const char *path);
 
+/* String at a key of an object, or "" when there is none. */
+const char *json_str(json_object *obj, const char *key);
+/* Unsigned number at a key of an object, or 0. */
+uint64_t json_num(json_object *obj, const char *key);
+/* Element @i of the array at a key, or NULL; json_len() is the number of elements. */
+json_object *json_item(json_object *obj, const char *key, size_t i);
+size_t json_len(json_object *obj, const char *key);
+/* The element of the array at @key whose @name_key is @name, or NULL. */
+json_object *json_find(json_object *obj, const char *key, const char *name_key, const char *name);
+
 #endif
--- a/platform.c
+++ b/platform.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "address.h"
+#include "jsontext.h"
 
 #define API_PREFIX   "/apis/jujubestage/v1/"
 #define MAX_ANSWER   (64 << 20) /* a list of the organisations, each up to 1 MB */
@@ -70,17 +71,6 @@
 	return "";
 }
 
-static const char *string_at(json_object *obj, const char *key)
-{
-	json_object *value = NULL;
-
-	if (!obj || !json_object_is_type(obj, json_type_object) ||
-	    !json_object_object_get_ex(obj, key, &value) ||
-	    !json_object_is_type(value, json_type_string))
-		return "";
-	return json_object_get_string(value);
-}
-
 static json_object *metadata(json_object *obj)
 {
 	json_object *meta = NULL;
@@ -92,17 +82,17 @@
 
 const char *platform_version(json_object *obj)
 {
-	return string_at(metadata(obj), "resourceVersion");
+	return json_str(metadata(obj), "resourceVersion");
 }
 
 const char *platform_name(json_object *obj)
 {
-	return string_at(metadata(obj), "name");
+	return json_str(metadata(obj), "name");
 }
 
 bool platform_signed_object(json_object *obj, peer_object_kind kind, struct object *out)
 {
-	const char *document = string_at(obj, "document");
+	const char *document = json_str(obj, "document");
 	json_object *root = json_tokener_parse(document);
 	json_object *generation = NULL;
 	bool ok = false;
@@ -111,7 +101,7 @@
 		json_object_object_get_ex(root, "generation", &generation);
 	if (generation && json_object_is_type(generation, json_type_int) &&
 	    json_object_get_int64(generation) > 0 &&
-	    hex_parse(string_at(obj, "signature"), out->signature, sizeof(out->signature))) {
+	    hex_parse(json_str(obj, "signature"), out->signature, sizeof(out->signature))) {
 		out->kind = kind;
 		out->name = platform_name(obj);
 		out->generation = json_object_get_uint64(generation);
@@ -336,7 +326,7 @@
 {
 	json_object *event = parse(bytes, len);
 	json_object *obj = event ? json_object_object_get(event, "object") : NULL;
-	const char *type = string_at(event, "type");
+	const char *type = json_str(event, "type");
 	const char *version = platform_version(obj);
 	bool alive = true;
 
--- a/settings.c
+++ b/settings.c
@@ -30,35 +30,25 @@
 	sodium_memzero(set, sizeof(*set));
 }
 
-/* The checks below ran, so every key is there with its type and range. */
-static const char *text_of(json_object *obj, const char *key)
-{
-	return json_object_get_string(json_object_object_get(obj, key));
-}
-
-static uint32_t uint_of(json_object *obj, const char *key)
-{
-	return (uint32_t)json_object_get_uint64(json_object_object_get(obj, key));
-}
-
+/* The checks ran before, so every key is there with its type and range. */
 static struct endpoint endpoint_of(json_object *obj, const char *key)
 {
 	struct endpoint ep = { 0 };
 
-	endpoint_parse(text_of(obj, key), &ep);
+	endpoint_parse(json_str(obj, key), &ep);
 	return ep;
 }
 
 static void fill_seed(struct instance_info *seed, json_object *obj)
 {
 	*seed = (struct instance_info){
-		.id = uint_of(obj, "id"),
+		.id = (uint32_t)json_num(obj, "id"),
 		.peer = endpoint_of(obj, "peer"),
 		.phase = INSTANCE_LIVE,
 	};
-	g_strlcpy(seed->name, text_of(obj, "name"), sizeof(seed->name));
-	g_strlcpy(seed->group, text_of(obj, "group"), sizeof(seed->group));
-	g_strlcpy(seed->data_centre, text_of(obj, "data_centre"), sizeof(seed->data_centre));
+	g_strlcpy(seed->name, json_str(obj, "name"), sizeof(seed->name));
+	g_strlcpy(seed->group, json_str(obj, "group"), sizeof(seed->group));
+	g_strlcpy(seed->data_centre, json_str(obj, "data_centre"), sizeof(seed->data_centre));
 }
 
 static void fill(struct settings *set, json_object *root)
@@ -66,24 +56,24 @@
 	json_object *keys = json_object_object_get(root, "peer_keys");
 	json_object *seeds = json_object_object_get(root, "seeds");
 
-	set->id = uint_of(root, "id");
-	g_string_assign(set->name, text_of(root, "name"));
-	g_string_assign(set->group, text_of(root, "group"));
-	g_string_assign(set->data_centre, text_of(root, "data_centre"));
+	set->id = (uint32_t)json_num(root, "id");
+	g_string_assign(set->name, json_str(root, "name"));
+	g_string_assign(set->group, json_str(root, "group"));
+	g_string_assign(set->data_centre, json_str(root, "data_centre"));
 	set->packets = endpoint_of(root, "packets");
 	set->answers = endpoint_of(root, "answers");
 	set->peers = endpoint_of(root, "peers");
 	set->admin = endpoint_of(root, "admin");
 	set->egress = endpoint_of(root, "egress");
 	set->platform = endpoint_of(root, "platform");
-	hex_parse(text_of(root, "flow_key"), set->flow_key, sizeof(set->flow_key));
-	hex_parse(text_of(root, "fleet_key"), set->fleet_key, FLEET_KEY_BYTES);
+	hex_parse(json_str(root, "flow_key"), set->flow_key, sizeof(set->flow_key));
+	hex_parse(json_str(root, "fleet_key"), set->fleet_key, FLEET_KEY_BYTES);
 	set->nr_peer_keys = json_object_array_length(keys);
 	for (size_t i = 0; i < set->nr_peer_keys; i++) {
 		json_object *key = json_object_array_get_idx(keys, i);
 
-		set->peer_keys[i].id = (uint8_t)uint_of(key, "id");
-		hex_parse(text_of(key, "key"), set->peer_keys[i].key, PEER_KEY_BYTES);
+		set->peer_keys[i].id = (uint8_t)json_num(key, "id");
+		hex_parse(json_str(key, "key"), set->peer_keys[i].key, PEER_KEY_BYTES);
 	}
 	for (size_t i = 0; i < json_object_array_length(seeds); i++) {
 		struct instance_info seed;
@@ -91,8 +81,8 @@
 		fill_seed(&seed, json_object_array_get_idx(seeds, i));
 		g_array_append_val(set->seeds, seed);
 	}
-	set->max_flows = uint_of(root, "max_flows");
-	g_string_assign(set->log_level, text_of(root, "log_level"));
+	set->max_flows = (uint32_t)json_num(root, "max_flows");
+	g_string_assign(set->log_level, json_str(root, "log_level"));
 }
 
 /* Rules over more than one key. */
--- a/t/helper/platform.c
+++ b/t/helper/platform.c
@@ -46,6 +46,7 @@
 	bool silent;	      /* watches stay open without events or bookmarks */
 	unsigned int slow_ms; /* before each answer */
 	unsigned int lose;    /* this many writes take effect but lose their answer */
+	unsigned int die;     /* so many writes lose their answer, and the platform goes down */
 	unsigned int refuse;  /* this many writes lose their answer and take no effect */
 	unsigned int lag_ms;  /* of the list of instances */
 	unsigned int bookmark_ms;
@@ -205,6 +206,12 @@
 	g_free(copy);
 	if (status == 409)
 		srv->conflicts++;
+	if (status < 400 && srv->die) {
+		srv->die--;
+		srv->down = true;
+		cl->closing = true;
+		return;
+	}
 	if (status < 400 && srv->lose) {
 		srv->lose--;
 		srv->lost++;
@@ -225,9 +232,9 @@
 		const char *key;
 		unsigned int *field;
 	} numbers[] = {
-		{ "slow_ms", &srv->slow_ms },	      { "lose", &srv->lose },
-		{ "refuse", &srv->refuse },	      { "lag_ms", &srv->lag_ms },
-		{ "bookmark_ms", &srv->bookmark_ms },
+		{ "slow_ms", &srv->slow_ms }, { "lose", &srv->lose },
+		{ "refuse", &srv->refuse },   { "lag_ms", &srv->lag_ms },
+		{ "die", &srv->die },	      { "bookmark_ms", &srv->bookmark_ms },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
@@ -299,6 +306,10 @@
 		cl->mute = true;
 		return;
 	}
+	if (!strcmp(path, "/status.json")) { /* of an instance whose entry names this address */
+		get(srv, cl, "status", "self", NULL);
+		return;
+	}
 	if (!g_str_has_prefix(path, API_PREFIX)) {
 		answer(srv, cl, 404, "{}");
 		return;
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -7,6 +7,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "document.h"
 #include "feed.h"
 #include "platform-sync.h"
 #include "standin-child.h"
@@ -233,12 +234,14 @@
 	else if (ev->type == EVENT_OBJECT)
 		g_string_append_printf(fx->seen, "%s:%s:%u ", platform_kind(ev->object.kind),
 				       ev->object.name, (unsigned int)ev->object.generation);
+	else if (ev->type == EVENT_SHUTDOWN)
+		g_string_append(fx->seen, "shutdown ");
 	for (size_t i = 0; ev->type == EVENT_INSTANCES && i < ev->instances.nr; i++)
 		g_string_append_printf(fx->seen, "%s:%s ", ev->instances.list[i].name,
 				       phases[ev->instances.list[i].phase]);
 }
 
-static struct feed *make_feed(struct fixture *fx, uint32_t id)
+static struct feed *make_feed(struct fixture *fx, uint32_t id, const uint8_t *fleet_key)
 {
 	struct feed_options opts = {
 		.context = platform_sync_context(fx->sync),
@@ -250,6 +253,7 @@
 			  .data_centre = "dc",
 			  .peer = { 0x7f000001, 6082 } },
 		.admin = { 0x7f000001, 8080 },
+		.fleet_key = fleet_key,
 		.event = on_feed,
 		.arg = fx,
 	};
@@ -288,7 +292,7 @@
 	(void)data;
 	put_signed(fx, "organisations", "o", 4);
 	put_signed(fx, "grants", "fleet", 1);
-	feed = make_feed(fx, 1);
+	feed = make_feed(fx, 1, NULL);
 	feed_watch(feed, true);
 	/* Grants come first: an organisation cannot be verified without them. */
 	expect(fx, "grants:fleet:1 ");
@@ -310,7 +314,7 @@
 
 	(void)data;
 	set(fx, "lose=1");
-	feed = make_feed(fx, 1);
+	feed = make_feed(fx, 1, NULL);
 	settle_phase(fx, feed);
 	g_assert_cmpint(stat_of(fx, "puts"), ==, 1);
 	g_assert_cmpint(stat_of(fx, "conflicts"), ==, 0);
@@ -322,7 +326,7 @@
 			"leaving");
 	feed_free(feed);
 	/* A replacement under the same name takes the entry over. */
-	feed = make_feed(fx, 1);
+	feed = make_feed(fx, 1, NULL);
 	settle_phase(fx, feed);
 	platform_sync_get(fx->sync, "instances", "in-1", &fx->res);
 	g_assert_cmpstr(json_object_get_string(json_object_object_get(fx->res.body, "phase")), ==,
@@ -332,20 +336,20 @@
 
 static void test_feed_list(struct fixture *fx, gconstpointer data)
 {
-	struct feed *one = make_feed(fx, 1);
+	struct feed *one = make_feed(fx, 1, NULL);
 	struct feed *two;
 
 	(void)data;
 	settle_phase(fx, one);
 	g_string_truncate(fx->seen, 0);
-	two = make_feed(fx, 2);
+	two = make_feed(fx, 2, NULL);
 	expect(fx, "in-1:live");
 	feed_free(two);
 	feed_free(one);
 	/* An unreachable platform is reported, and says nothing about instances. */
 	g_string_truncate(fx->seen, 0);
 	set(fx, "down=1");
-	one = make_feed(fx, 3);
+	one = make_feed(fx, 3, NULL);
 	expect(fx, "unreachable ");
 	g_assert_null(strstr(fx->seen->str, "in-"));
 	set(fx, "down=0");
@@ -353,6 +357,55 @@
 	feed_free(one);
 }
 
+/* Adds an order to drain to the entry; @entry is the request id that it names. */
+static void order_drain(struct fixture *fx, const struct signing_key *key, const char *entry)
+{
+	json_object *order = json_object_new_object();
+	json_object *next = NULL;
+	gchar *version;
+
+	platform_sync_get(fx->sync, "instances", "in-1", &fx->res);
+	json_object_object_add(order, "drain", json_object_new_string("in-1"));
+	json_object_object_add(
+		order, "entry",
+		json_object_new_string(entry ? entry : json_str(fx->res.body, "request_id")));
+	json_object_deep_copy(fx->res.body, &next, NULL);
+	json_object_object_add(next, "order", document_seal(order, key));
+	version = g_strdup(fx->res.version->str);
+	platform_sync_put(fx->sync, "instances", "in-1", version, next, &fx->res);
+	g_assert_cmpint(fx->res.status, ==, CALL_OK);
+	json_object_put(order);
+	json_object_put(next);
+	g_free(version);
+}
+
+/* An order counts only with the fleet operator's signature and for this process. */
+static void test_feed_order(struct fixture *fx, gconstpointer data)
+{
+	static const struct {
+		bool forged;
+		const char *entry;
+		bool taken;
+	} orders[] = { { true, NULL, false }, { false, "00", false }, { false, NULL, true } };
+	struct signing_key fleet;
+	struct signing_key other;
+
+	(void)data;
+	crypto_sign_keypair(fleet.public, fleet.secret);
+	crypto_sign_keypair(other.public, other.secret);
+	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
+		struct feed *feed = make_feed(fx, 1, fleet.public);
+
+		settle_phase(fx, feed);
+		order_drain(fx, orders[i].forged ? &other : &fleet, orders[i].entry);
+		g_string_truncate(fx->seen, 0);
+		feed_set_phase(feed, INSTANCE_LEAVING); /* reads the entry after a conflict */
+		settle_phase(fx, feed);
+		g_assert_cmpint(strstr(fx->seen->str, "shutdown ") != NULL, ==, orders[i].taken);
+		feed_free(feed);
+	}
+}
+
 static const struct {
 	const char *path;
 	void (*run)(struct fixture *fx, gconstpointer data);
@@ -365,6 +418,7 @@
 	{ "/platform/feed-objects", test_feed_objects },
 	{ "/platform/feed-registers", test_feed_registers },
 	{ "/platform/feed-list", test_feed_list },
+	{ "/platform/feed-order", test_feed_order },
 };
 
 int main(int argc, char **argv)
