burn: report how fast services spend their error budgets

Cause: a broken flow weighs most for one user and service during a withdrawal for the other; both need to see what spends the budget, and how soon it ends.

Ruled out: rates from totals since the start, which a restart resets.

--- a/builtin/list.c
+++ b/builtin/list.c
@@ -3,6 +3,7 @@
 const struct builtin builtins[] = {
 	{ "help", "list the commands", cmd_help },
 	{ "version", "print the version", cmd_version },
+	{ "burn", "report how fast services spend their error budgets", cmd_burn },
 	{ "check", "check settings, documents, templates and requests", cmd_check },
 	{ "dc", "withdraw and restore data centres", cmd_dc },
 	{ "grants", "set and show what each organisation may use", cmd_grants },
--- /dev/null
+++ b/burn.c
@@ -0,0 +1,388 @@
+#include "burn.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <math.h>
+#include <string.h>
+
+#include "jsontext.h"
+
+#define HOUR_S		3600
+#define DAY_S		86400
+#define MAX_SAMPLE_TIME (INT64_C(1) << 40)
+
+/* Windows and thresholds: 14.4 spends 2% of 30 days in an hour, 6 spends 5% in 6 hours, 1 spends
+ * 10% in 3 days. */
+static const struct {
+	int64_t longer;
+	int64_t shorter;
+	double threshold;
+} pairs[BURN_PAIRS] = {
+	{ HOUR_S, 5 * 60, 14.4 },
+	{ 6 * HOUR_S, 30 * 60, 6 },
+	{ 3 * DAY_S, 6 * HOUR_S, 1 },
+};
+
+/* Flows that ended between two samples of one counter; dated to the later one. */
+struct increment {
+	int64_t at;
+	uint64_t good;
+	uint64_t bad;
+	const char *dc;	    /* interned */
+	const char *target; /* interned */
+};
+
+/* The last sample of one counter: a target as one instance sees it. */
+struct series {
+	int64_t at;
+	uint64_t good;
+	uint64_t bad;
+};
+
+struct service_data {
+	char *name;
+	uint32_t slo_permille;
+	int64_t first; /* time of the first sample */
+	GArray *increments;
+};
+
+struct burn {
+	GHashTable *series; /* instance, service and target to struct series */
+	GHashTable *services;
+	int64_t first; /* of the whole file */
+	int64_t last;
+};
+
+static void service_data_free(gpointer data)
+{
+	struct service_data *svc = data;
+
+	g_free(svc->name);
+	g_array_unref(svc->increments);
+	g_free(svc);
+}
+
+struct burn *burn_new(void)
+{
+	struct burn *burn = g_new0(struct burn, 1);
+
+	burn->series = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	burn->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_data_free);
+	burn->first = INT64_MAX;
+	return burn;
+}
+
+void burn_free(struct burn *burn)
+{
+	g_hash_table_unref(burn->series);
+	g_hash_table_unref(burn->services);
+	g_free(burn);
+}
+
+static struct service_data *service_of(struct burn *burn, const char *name, int64_t at)
+{
+	struct service_data *svc = g_hash_table_lookup(burn->services, name);
+
+	if (svc)
+		return svc;
+	svc = g_new0(struct service_data, 1);
+	svc->name = g_strdup(name);
+	svc->slo_permille = BURN_DEFAULT_SLO;
+	svc->first = at;
+	svc->increments = g_array_new(FALSE, FALSE, sizeof(struct increment));
+	g_hash_table_insert(burn->services, svc->name, svc);
+	return svc;
+}
+
+/* Returns false for the first sample of a counter that was running before the samples begin. */
+static bool advance(const struct burn *burn, struct series *ser, bool fresh, int64_t at,
+		    struct increment *inc)
+{
+	uint64_t good = inc->good;
+	uint64_t bad = inc->bad;
+
+	/* A counter that went down belongs to a restarted instance and began at 0. */
+	if (!fresh && good >= ser->good && bad >= ser->bad) {
+		inc->good -= ser->good;
+		inc->bad -= ser->bad;
+	}
+	*ser = (struct series){ at, good, bad };
+	return !fresh || at > burn->first;
+}
+
+static bool is_counter(json_object *value)
+{
+	return value && json_object_is_type(value, json_type_int) &&
+	       json_object_get_int64(value) >= 0;
+}
+
+static int add(struct burn *burn, json_object *obj)
+{
+	const char *org = json_str(obj, "organisation");
+	const char *name = json_str(obj, "service");
+	int64_t at = (int64_t)json_num(obj, "time");
+	struct increment inc = { .at = at };
+	struct service_data *svc;
+	struct series *ser;
+	gchar *full;
+	gchar *key;
+	uint64_t slo = json_num(obj, "slo_permille");
+	bool fresh;
+
+	if (!*org || !*name || !at || at > MAX_SAMPLE_TIME || slo >= 1000 ||
+	    !is_counter(json_object_object_get(obj, "good")) ||
+	    !is_counter(json_object_object_get(obj, "bad")))
+		return -EBADMSG;
+	inc.good = json_num(obj, "good");
+	inc.bad = json_num(obj, "bad");
+	inc.dc = g_intern_string(json_str(obj, "data_centre"));
+	inc.target = g_intern_string(json_str(obj, "target"));
+	burn->first = MIN(burn->first, at);
+	burn->last = MAX(burn->last, at);
+	full = g_strdup_printf("%s/%s", org, name);
+	svc = service_of(burn, full, at);
+	if (slo)
+		svc->slo_permille = (uint32_t)slo;
+	svc->first = MIN(svc->first, at);
+	key = g_strdup_printf("%s\n%s\n%s", json_str(obj, "instance"), full, inc.target);
+	ser = g_hash_table_lookup(burn->series, key);
+	fresh = !ser;
+	if (fresh) {
+		ser = g_new0(struct series, 1);
+		g_hash_table_insert(burn->series, g_strdup(key), ser);
+	}
+	if (!fresh && at < ser->at) {
+		g_free(full);
+		g_free(key);
+		return -EBADMSG;
+	}
+	if (advance(burn, ser, fresh, at, &inc) && (inc.good || inc.bad))
+		g_array_append_val(svc->increments, inc);
+	g_free(full);
+	g_free(key);
+	return 0;
+}
+
+int burn_add(struct burn *burn, const char *line)
+{
+	json_object *obj = json_tokener_parse(line);
+	int rc = -EBADMSG;
+
+	if (obj && json_object_is_type(obj, json_type_object))
+		rc = add(burn, obj);
+	json_object_put(obj);
+	return rc;
+}
+
+static void copy(json_object *to, const char *key, json_object *from, const char *from_key)
+{
+	json_object *value;
+
+	if (json_object_object_get_ex(from, from_key, &value))
+		json_object_object_add(to, key, json_object_get(value));
+}
+
+size_t burn_lines(json_object *status, int64_t now, GString *out)
+{
+	json_object *inst = json_object_object_get(status, "instance");
+	size_t nr = 0;
+
+	for (size_t i = 0; i < json_len(status, "services"); i++) {
+		json_object *svc = json_item(status, "services", i);
+
+		for (size_t j = 0; j < json_len(svc, "targets"); j++) {
+			json_object *tgt = json_item(svc, "targets", j);
+			json_object *line;
+
+			if (!json_object_object_get_ex(tgt, "good", NULL) ||
+			    !json_object_object_get_ex(tgt, "bad", NULL))
+				continue;
+			line = json_object_new_object();
+			json_object_object_add(line, "time", json_object_new_int64(now));
+			copy(line, "instance", inst, "name");
+			copy(line, "organisation", svc, "organisation");
+			copy(line, "service", svc, "name");
+			copy(line, "slo_permille", svc, "slo_permille");
+			copy(line, "target", tgt, "name");
+			copy(line, "data_centre", tgt, "data_centre");
+			copy(line, "good", tgt, "good");
+			copy(line, "bad", tgt, "bad");
+			g_string_append_printf(
+				out, "%s\n",
+				json_object_to_json_string_ext(line, JSON_C_TO_STRING_PLAIN));
+			json_object_put(line);
+			nr++;
+		}
+	}
+	return nr;
+}
+
+/* Flows of (@from, @to]. */
+static void sum(const struct service_data *svc, int64_t from, int64_t to, uint64_t *good,
+		uint64_t *bad)
+{
+	*good = 0;
+	*bad = 0;
+	for (guint i = 0; i < svc->increments->len; i++) {
+		const struct increment *inc = &g_array_index(svc->increments, struct increment, i);
+
+		if (inc->at > from && inc->at <= to) {
+			*good += inc->good;
+			*bad += inc->bad;
+		}
+	}
+}
+
+static double burn_rate(const struct service_data *svc, uint64_t good, uint64_t bad)
+{
+	double allowed = (1000 - svc->slo_permille) / 1000.0;
+
+	return good + bad ? (double)bad / (double)(good + bad) / allowed : 0;
+}
+
+static struct burn_window window(const struct service_data *svc, int64_t now, int64_t seconds)
+{
+	struct burn_window win = { .seconds = seconds };
+
+	sum(svc, now - seconds, now, &win.good, &win.bad);
+	win.rate = burn_rate(svc, win.good, win.bad);
+	win.partial = svc->first > now - seconds;
+	return win;
+}
+
+static void cause_free(gpointer data)
+{
+	struct burn_cause *cause = data;
+
+	g_free(cause->name);
+	g_free(cause);
+}
+
+static gint worse_first(gconstpointer a, gconstpointer b)
+{
+	const struct burn_cause *x = *(const struct burn_cause *const *)a;
+	const struct burn_cause *y = *(const struct burn_cause *const *)b;
+
+	if (x->bad != y->bad)
+		return x->bad > y->bad ? -1 : 1;
+	return strcmp(x->name, y->name);
+}
+
+static GPtrArray *causes(const struct service_data *svc, int64_t from, int64_t to, bool by_dc,
+			 uint64_t total)
+{
+	GPtrArray *list = g_ptr_array_new_with_free_func(cause_free);
+	GHashTable *found = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < svc->increments->len; i++) {
+		const struct increment *inc = &g_array_index(svc->increments, struct increment, i);
+		const char *name = by_dc ? inc->dc : inc->target;
+		struct burn_cause *cause = g_hash_table_lookup(found, name);
+
+		if (inc->at <= from || inc->at > to || !inc->bad)
+			continue;
+		if (!cause) {
+			cause = g_new0(struct burn_cause, 1);
+			cause->name = g_strdup(name);
+			g_ptr_array_add(list, cause);
+			g_hash_table_insert(found, cause->name, cause);
+		}
+		cause->bad += inc->bad;
+		cause->share_permille = (uint32_t)(cause->bad * 1000 / total);
+	}
+	g_ptr_array_sort(list, worse_first);
+	if (list->len > BURN_MAX_CAUSES)
+		g_ptr_array_set_size(list, BURN_MAX_CAUSES);
+	g_hash_table_unref(found);
+	return list;
+}
+
+static void service_free(gpointer data)
+{
+	struct burn_service *out = data;
+
+	g_free(out->name);
+	g_ptr_array_unref(out->data_centres);
+	g_ptr_array_unref(out->targets);
+	g_array_unref(out->points);
+	g_free(out);
+}
+
+/* Only from the second sample on is anything known. */
+static void add_points(const struct service_data *svc, struct burn_service *out, int64_t from,
+		       int64_t now)
+{
+	int64_t start = MAX(from, svc->first);
+	int64_t span = now - start;
+
+	for (int64_t i = 0; i <= BURN_PLOT_POINTS && span > 0; i++) {
+		struct burn_point point = { .at = start + span * i / BURN_PLOT_POINTS };
+		uint64_t good;
+		uint64_t bad;
+
+		point.rate = window(svc, point.at, HOUR_S).rate;
+		sum(svc, from, point.at, &good, &bad);
+		point.spent = out->budget > 0 ? (double)bad / out->budget : 0;
+		g_array_append_val(out->points, point);
+	}
+}
+
+static struct burn_service *report_service(const struct service_data *svc, int64_t now,
+					   int64_t period_s)
+{
+	struct burn_service *out = g_new0(struct burn_service, 1);
+	int64_t from = now - period_s;
+	double hour;
+
+	out->name = g_strdup(svc->name);
+	out->slo_permille = svc->slo_permille;
+	sum(svc, from, now, &out->good, &out->bad);
+	out->covered_s = MIN(period_s, now - svc->first);
+	/* A part of the period stands for the whole of it. */
+	if (out->covered_s > 0)
+		out->budget = (double)(out->good + out->bad) * (double)period_s /
+			      (double)out->covered_s * (1000 - svc->slo_permille) / 1000.0;
+	out->spent = out->budget > 0 ? (double)out->bad / out->budget : 0;
+	for (size_t i = 0; i < BURN_PAIRS; i++) {
+		struct burn_pair *pair = &out->pairs[i];
+
+		pair->longer = window(svc, now, pairs[i].longer);
+		pair->shorter = window(svc, now, pairs[i].shorter);
+		pair->threshold = pairs[i].threshold;
+		pair->alarm =
+			pair->longer.rate > pair->threshold && pair->shorter.rate > pair->threshold;
+	}
+	hour = out->pairs[0].longer.rate;
+	out->left_s = -1;
+	if (out->spent >= 1)
+		out->left_s = 0;
+	else if (hour > 0)
+		out->left_s = (1 - out->spent) * (double)period_s / hour;
+	out->data_centres = causes(svc, from, now, true, MAX(out->bad, 1));
+	out->targets = causes(svc, from, now, false, MAX(out->bad, 1));
+	out->points = g_array_new(FALSE, FALSE, sizeof(struct burn_point));
+	add_points(svc, out, from, now);
+	return out;
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	const struct burn_service *x = *(const struct burn_service *const *)a;
+	const struct burn_service *y = *(const struct burn_service *const *)b;
+
+	return strcmp(x->name, y->name);
+}
+
+GPtrArray *burn_report(const struct burn *burn, int64_t now, uint32_t period_days)
+{
+	GPtrArray *list = g_ptr_array_new_with_free_func(service_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, burn->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(list, report_service(value, now ? now : burn->last,
+						     (int64_t)period_days * DAY_S));
+	g_ptr_array_sort(list, by_name);
+	return list;
+}
