t: name the offset of the heartbeat's first array

Cause: the heartbeat got fields before its first array, so the changed word was the configuration digest, which may hold any value.

Change: the case corrupts the length of the vector, at byte 68.

Ruled out: a fault in the decoder; the message was well-formed.

Conclusion: the check is as strict as before.

--- a/t/test-peer.c
+++ b/t/test-peer.c
@@ -433,7 +433,7 @@
 	g_free(bytes);
 }
 
-/* One changed word of a well-sealed call; it must be dropped and counted as bad. */
+/* One changed word of a well-sealed heartbeat; it must be dropped and counted as bad. */
 static void test_bad_calls(void)
 {
 	static const struct {
@@ -444,7 +444,7 @@
 		{ "direction", 4, 7 },	    { "RPC version", 8, 3 },
 		{ "program", 12, 100003 },  { "program version", 16, 2 },
 		{ "procedure", 20, 6 },	    { "credential length", 28, 0xffffffff },
-		{ "message type", 40, 99 }, { "array length", 60, 0xffffffff },
+		{ "message type", 40, 99 }, { "array length", 68, 0xffffffff },
 	};
 	GByteArray *msg = message(0);
 	struct node b;
