home: hold pins twice before an opening goes out, and survive partitions

A home that was cut off alone opened flows that only it knew, as the opening went out when the backup did not answer. The next member is asked now and the opening dropped when that one does not answer either. Flows opened while a shard is guarded are pinned even at the base, because the other side may have another base, and lost members count for a majority for two more seconds, because both sides do not notice a partition at the same time.

--- a/assign.c
+++ b/assign.c
@@ -209,7 +209,9 @@
 	struct shard_lead *lead = shard->lead;
 	uint32_t acked = shard->epoch;
 
-	if (!lead->pending)
+	/* Lost members may be those of a partition's other side, and use their views for a while.
+	 */
+	if (!lead->pending || (homes->ghosts->len && !homes->majority))
 		return;
 	for (guint i = 0; i < lead->peers->len; i++) {
 		const struct shard_peer *peer = &g_array_index(lead->peers, struct shard_peer, i);
--- a/decide.c
+++ b/decide.c
@@ -39,6 +39,17 @@
 	return TARGET_NONE;
 }
 
+/*
+ * Flags of a new pin. The other side of a partition may have another base for the bucket, so the
+ * flows that are opened while the shard is guarded are all told when the sides meet.
+ */
+static uint8_t new_flags(const struct shard *shard, const struct bucket *bucket, uint32_t target)
+{
+	if (target != bucket->base)
+		return FLOW_HELD;
+	return shard->lead->guarded ? FLOW_BASE | FLOW_HELD : FLOW_BASE;
+}
+
 struct flow *decide_new(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
 			uint32_t opening_id, enum decision *why)
 {
@@ -49,7 +60,7 @@
 	if (target == TARGET_NONE)
 		return NULL;
 	flow = flow_set(homes, ctx, shard, hash, target, opening_id,
-			target == bucket->base ? FLOW_BASE : FLOW_HELD);
+			new_flags(shard, bucket, target));
 	if (!flow) {
 		ctx->counters->drop_quota++;
 		*why = DECIDE_DROP;
@@ -199,7 +210,7 @@
 	if (kind == ANSWER_ACCEPTED) {
 		if (!flow)
 			flow = flow_set(homes, ctx, shard, hash, target, opening_id,
-					target == bucket->base ? FLOW_BASE : FLOW_HELD);
+					new_flags(shard, bucket, target));
 		if (!flow) {
 			ctx->counters->drop_quota++;
 			return DECIDE_DROP;
--- a/flow.c
+++ b/flow.c
@@ -157,15 +157,16 @@
 
 		while (pins->len < max &&
 		       (flow = flowtab_next(homes->tab, bucket_number(shard, b), &pos))) {
-			bool held = flow->target != bucket->base && (flow->flags & FLOW_HELD);
+			bool held = (flow->flags & FLOW_HELD) != 0;
 			peer_pin pin;
 
 			if (!flow_of_shard(homes, shard, flow) ||
 			    flow_expired(flow, flowtab_ms(homes->tab, ctx->now), homes))
 				continue;
-			if (held_only ? !held
-				      : flow->target == bucket->base &&
-						!flow_recent(homes, ctx, flow))
+			if (held_only
+				    ? !held
+				    : flow->target == bucket->base && !(flow->flags & FLOW_HELD) &&
+					      !flow_recent(homes, ctx, flow))
 				continue;
 			pin = pin_encode(homes, ctx, flow);
 			g_array_append_val(pins, pin);
--- a/home.c
+++ b/home.c
@@ -49,6 +49,7 @@
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, service_state_free);
 	homes->order = g_ptr_array_new();
 	homes->peers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	homes->ghosts = g_array_new(FALSE, FALSE, sizeof(struct ghost));
 	homes->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	homes->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, query_free);
 	homes->org_parked = g_array_new(FALSE, TRUE, sizeof(uint32_t));
@@ -76,6 +77,7 @@
 	g_hash_table_unref(homes->services);
 	g_ptr_array_unref(homes->order);
 	g_array_unref(homes->peers);
+	g_array_unref(homes->ghosts);
 	g_array_unref(homes->org_parked);
 	g_free(homes->saved);
 	g_free(homes);
@@ -241,13 +243,43 @@
 		g_array_append_val(peers, id);
 }
 
+static bool is_peer(const struct homes *homes, uint32_t id)
+{
+	for (guint i = 0; i < homes->peers->len; i++)
+		if (g_array_index(homes->peers, uint32_t, i) == id)
+			return true;
+	return false;
+}
+
+/* Members that went since the last look, but for those that left, become ghosts for a while. */
+static void read_ghosts(struct homes *homes, const GArray *before)
+{
+	struct ghost ghost = { .since = homes->last_timer };
+
+	for (guint i = homes->ghosts->len; i-- > 0;) {
+		ghost = g_array_index(homes->ghosts, struct ghost, i);
+		if (is_peer(homes, ghost.id) ||
+		    ts_diff_ms(homes->last_timer, ghost.since) >= GHOST_MS)
+			g_array_remove_index(homes->ghosts, i);
+	}
+	ghost.since = homes->last_timer;
+	for (guint i = 0; i < before->len; i++) {
+		ghost.id = g_array_index(before, uint32_t, i);
+		if (!is_peer(homes, ghost.id) && homes->ghosts->len < PEER_MAX_MEMBERS)
+			g_array_append_val(homes->ghosts, ghost);
+	}
+}
+
 static void read_members(struct homes *homes)
 {
+	GArray *before = homes->peers;
 	uint64_t version = members_version(homes->mem) + 1;
 
 	/* Members come and go between changes of the version, which follows only possible homes. */
-	g_array_set_size(homes->peers, 0);
+	homes->peers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	members_each(homes->mem, add_peer, homes->peers);
+	read_ghosts(homes, before);
+	g_array_unref(before);
 	if (version == homes->members_version)
 		return;
 	homes->members_version = version;
@@ -277,7 +309,7 @@
 	for (guint i = 0; i < homes->peers->len; i++)
 		may_route += members_may_route(homes->mem, g_array_index(homes->peers, uint32_t, i),
 					       ctx->now);
-	homes->majority = may_route * 2 > homes->peers->len + 1;
+	homes->majority = may_route * 2 > homes->peers->len + homes->ghosts->len + 1;
 	if (!fresh)
 		shard_each(homes, shard_give_up, ctx);
 	else if (cut)
@@ -458,7 +490,7 @@
 			query_answered(homes, ctx, call, msg);
 			break;
 		case CALL_BACKUP:
-			pass_backed_up(homes, ctx, shard, call);
+			pass_backed_up(homes, ctx, shard, call, msg);
 			break;
 		case CALL_COPY:
 			recover_copied(homes, ctx, shard, call, msg);
--- a/pass.c
+++ b/pass.c
@@ -232,47 +232,76 @@
 	}
 }
 
-void pass_with_backup(struct homes *homes, struct ctx *ctx, struct shard *shard, struct flow *flow,
-		      const struct packet *pkt)
+static void ask_backup(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		       const struct flow *flow, uint32_t backup, uint32_t skipped,
+		       struct parked *parked)
 {
 	peer_pin pin = pin_encode(homes, ctx, flow);
-	uint32_t backup = shard_backup(homes, shard);
 	peer_msg msg = { .type = PEER_PIN_BATCH };
-	struct call call = {
-		.kind = CALL_BACKUP,
-		.dst = backup,
-		.addr = shard->owner->addr,
-		.index = shard->index,
-		.hash = flow->hash,
-	};
 
-	if (backup == MEMBER_NONE || !members_may_route(homes->mem, backup, ctx->now)) {
-		route_forward(homes, ctx, shard, flow, pkt);
-		return;
-	}
-	call.parked = park_packet(homes, ctx, shard->owner->svc->org, pkt);
-	if (!call.parked)
-		return;
 	msg.peer_msg_u.pins = (peer_pin_batch){
 		.shard = shard_header(shard),
 		.pins = { 1, &pin },
 	};
-	if (!call_make(homes, ctx, call, BACKUP_WAIT_MS, 1, &msg))
+	if (!call_make(homes, ctx,
+		       (struct call){
+			       .kind = CALL_BACKUP,
+			       .dst = backup,
+			       .addr = shard->owner->addr,
+			       .index = shard->index,
+			       .cursor = skipped,
+			       .hash = flow->hash,
+			       .parked = parked,
+		       },
+		       BACKUP_WAIT_MS, 1, &msg))
 		ctx->counters->drop_parked++;
 }
 
-void pass_backed_up(struct homes *homes, struct ctx *ctx, struct shard *shard,
-		    const struct call *call)
+void pass_with_backup(struct homes *homes, struct ctx *ctx, struct shard *shard, struct flow *flow,
+		      const struct packet *pkt)
+{
+	uint32_t backup = shard_backup(homes, ctx, shard, MEMBER_NONE);
+	struct parked *parked;
+
+	if (backup == MEMBER_NONE) {
+		route_forward(homes, ctx, shard, flow, pkt);
+		return;
+	}
+	parked = park_packet(homes, ctx, shard->owner->svc->org, pkt);
+	if (parked)
+		ask_backup(homes, ctx, shard, flow, backup, MEMBER_NONE, parked);
+}
+
+/*
+ * Without a second holder the packet is dropped, after the next member was asked as well: a home
+ * that is cut off would open flows that nobody else could recover.
+ */
+void pass_backed_up(struct homes *homes, struct ctx *ctx, struct shard *shard, struct call *call,
+		    const peer_msg *msg)
 {
 	struct flow *flow = flowtab_find(homes->tab, call->hash);
+	uint32_t next = MEMBER_NONE;
 
 	/* The flow may have been moved, or the shard given up, in the meantime. */
-	if (call->parked && shard_acting(homes, ctx, shard) && flow &&
-	    (call->parked->pkt.kind != PACKET_OPENING ||
-	     flow->opening_id == call->parked->pkt.opening_id))
+	if (!call->parked || !shard_acting(homes, ctx, shard) || !flow ||
+	    (call->parked->pkt.kind == PACKET_OPENING &&
+	     flow->opening_id != call->parked->pkt.opening_id)) {
+		ctx->counters->drop_parked++;
+		return;
+	}
+	if (msg) {
 		route_forward(homes, ctx, shard, flow, &call->parked->pkt);
-	else
+		return;
+	}
+	ctx->counters->peer_timeout++;
+	if (call->cursor == MEMBER_NONE)
+		next = shard_backup(homes, ctx, shard, call->dst);
+	if (next == MEMBER_NONE) {
 		ctx->counters->drop_parked++;
+		return;
+	}
+	ask_backup(homes, ctx, shard, flow, next, call->dst, call->parked);
+	call->parked = NULL;
 }
 
 void note_to_home(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
--- a/recover.c
+++ b/recover.c
@@ -1,3 +1,5 @@
+#include <netinet/in.h>
+
 #include "shard.h"
 
 int term_cmp(uint32_t term_a, uint32_t home_a, uint32_t term_b, uint32_t home_b)
@@ -155,6 +157,9 @@
 			waiting = true;
 	}
 	/* Every pin is held twice, so what one member alone does not tell is not lost. */
+	if (homes->cut && !lead->was_cut)
+		lead->cut_since = ctx->now;
+	lead->was_cut |= homes->cut;
 	lead->guarded = homes->cut || waiting || (missing && lead->lost + missing >= 2);
 }
 
@@ -206,23 +211,26 @@
 	assign_start(homes, ctx, shard);
 }
 
-uint32_t shard_backup(const struct homes *homes, const struct shard *shard)
+uint32_t shard_backup(const struct homes *homes, const struct ctx *ctx, const struct shard *shard,
+		      uint32_t skip)
 {
 	uint32_t self = members_self(homes->mem);
-	uint32_t id = MEMBER_NONE;
 
-	for (uint32_t rank = 0; rank < 3; rank++) {
-		id = members_home(homes->mem, shard->owner->addr, shard->index, rank);
-		if (id != self)
+	for (uint32_t rank = 0; rank <= homes->peers->len; rank++) {
+		uint32_t id = members_home(homes->mem, shard->owner->addr, shard->index, rank);
+
+		if (id == MEMBER_NONE)
 			break;
+		if (id != self && id != skip && members_may_route(homes->mem, id, ctx->now))
+			return id;
 	}
-	return id == self ? MEMBER_NONE : id;
+	return MEMBER_NONE;
 }
 
 static void copy_pins(struct homes *homes, struct ctx *ctx, struct shard *shard)
 {
 	struct shard_lead *lead = shard->lead;
-	uint32_t backup = shard_backup(homes, shard);
+	uint32_t backup = shard_backup(homes, ctx, shard, MEMBER_NONE);
 	uint32_t cursor = lead->copy_cursor;
 	peer_msg msg = { .type = PEER_PIN_BATCH };
 	GArray *pins;
@@ -299,6 +307,28 @@
 		shard->lead->wanted |= 1ULL << b;
 }
 
+/*
+ * Forgets openings that nobody accepted here when a member of the other side of a partition has
+ * told its flows: it may have opened them elsewhere. One that is accepted later is pinned then.
+ */
+static void drop_untried(struct homes *homes, struct ctx *ctx, struct shard *shard)
+{
+	uint32_t now_ms = flowtab_ms(homes->tab, ctx->now);
+	int64_t cut_ms = ts_diff_ms(ctx->now, shard->lead->cut_since) + DEAD_AFTER_MS;
+
+	if (!shard->lead->was_cut)
+		return;
+	for (uint32_t b = 0; b < BUCKETS_PER_SHARD; b++) {
+		struct flow *flow;
+		size_t pos = 0;
+
+		while ((flow = flowtab_next(homes->tab, bucket_number(shard, b), &pos)))
+			if (!flow_trusted(flow) && flow_of_shard(homes, shard, flow) &&
+			    flow_ticks_age_ms(flow->opened, now_ms) <= cut_ms)
+				flow_remove(homes, ctx, flow);
+	}
+}
+
 void recover_pulled(struct homes *homes, struct ctx *ctx, struct shard *shard,
 		    const struct call *call, const peer_msg *msg)
 {
@@ -338,4 +368,6 @@
 	peer->answered = true;
 	if (shard->role == SHARD_RECOVERING)
 		recover_complete(homes, ctx, shard);
+	else if (shard->owner->addr.proto == IPPROTO_TCP)
+		drop_untried(homes, ctx, shard);
 }
--- a/shard.h
+++ b/shard.h
@@ -24,6 +24,9 @@
 /* Losses in this time before a recovery count as one: pins were not copied again in between. */
 #define LOSS_WINDOW_MS (3 * DEAD_AFTER_MS)
 
+/* The other side of a partition can notice it this much later than this one. */
+#define GHOST_MS 2000
+
 #define CALL_TIMEOUT_MS	  200 /* 25 round trips between data centres */
 #define CALL_TRIES	  3
 #define PASS_TIMEOUT_MS	  100
@@ -104,6 +107,8 @@
 	struct timespec uncertain_until;
 	bool guarded; /* flows may exist elsewhere: no elimination at all */
 	bool announced_certain;
+	bool was_cut; /* a partition began at cut_since, in this term */
+	struct timespec cut_since;
 	uint32_t best_term, best_home, best_epoch; /* of the bucket table taken over */
 	int64_t base_seen_ms[BUCKETS_PER_SHARD];
 	struct timespec next_review;
@@ -156,6 +161,12 @@
 	uint8_t bytes[SAVED_BYTES];
 };
 
+/* A lost member, still counted for a majority. */
+struct ghost {
+	uint32_t id;
+	struct timespec since;
+};
+
 struct homes {
 	const struct config *cfg;
 	struct members *mem;
@@ -164,6 +175,7 @@
 	GHashTable *services; /* address key to struct service_state */
 	GPtrArray *order;     /* the same, for visits in turn */
 	GArray *peers;	      /* uint32_t: other members that are not gone */
+	GArray *ghosts;	      /* struct ghost: members that were lost a moment ago */
 	uint64_t members_version;
 	uint64_t config_changes;
 	bool started;
@@ -274,8 +286,9 @@
 		    const struct call *call, const peer_msg *msg);
 void recover_copied(struct homes *homes, struct ctx *ctx, struct shard *shard,
 		    const struct call *call, const peer_msg *msg);
-/* The member that holds the second copy of the home's own pins, or MEMBER_NONE. */
-uint32_t shard_backup(const struct homes *homes, const struct shard *shard);
+/* The member other than @skip that holds the second copy of the home's pins, or MEMBER_NONE. */
+uint32_t shard_backup(const struct homes *homes, const struct ctx *ctx, const struct shard *shard,
+		      uint32_t skip);
 bool lead_uncertain(const struct shard *shard, const struct ctx *ctx);
 
 /* follow.c: the member's side. */
@@ -322,8 +335,8 @@
 /* Forwards a new flow's packet when the backup holds its pin. */
 void pass_with_backup(struct homes *homes, struct ctx *ctx, struct shard *shard, struct flow *flow,
 		      const struct packet *pkt);
-void pass_backed_up(struct homes *homes, struct ctx *ctx, struct shard *shard,
-		    const struct call *call);
+void pass_backed_up(struct homes *homes, struct ctx *ctx, struct shard *shard, struct call *call,
+		    const peer_msg *msg);
 void note_to_home(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
 		  uint32_t target, const struct answer *ans);
 void note_received(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
--- a/t/test-fleet.c
+++ b/t/test-fleet.c
@@ -150,6 +150,9 @@
 		if (sim->kind == PACKET_OPENING && flow->payload_target != TARGET_NONE)
 			violation(w, "refusal of a request that was run", sim, flow->payload_target,
 				  0);
+		/* The reset of an opening is outside the window of a flow that is open by now. */
+		if (slot->phase == OPEN && sim->kind == PACKET_OPENING)
+			return;
 		if (slot->phase == OPEN)
 			w->broken++;
 		w->refused++;
