--- a/builtin/cli.c
+++ b/builtin/cli.c
@@ -218,10 +218,9 @@
 		*version = g_strdup(res.version->str);
 		*found = true;
 		if (!*doc) {
-			cli_error(cli,
-				  "the signature of %s/%s does not verify with this key, "
-				  "see --old-key for a key rotation",
-				  kind, name);
+			cli_error(cli, "the signature of %s/%s does not verify with this key%s",
+				  kind, name,
+				  cli->old_key ? ", see --old-key for a key rotation" : "");
 			*exit_code = EXIT_REFUSED;
 			ok = false;
 		}
