replay: show what instances believe

Cause: a flow that broke could not be traced to the view that an instance had.

Change: the verb "show" of a trace prints what each instance believes.

Ruled out: a debugger; replay runs must be repeatable by others.

--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -931,6 +931,31 @@
 	}
 }
 
+void sim_show(struct sim *sim)
+{
+	static const char states[] = "jLlsd"; /* joining, live, leaving, suspect, dead */
+
+	for (uint32_t i = 0; i < sim->instances->len; i++) {
+		const struct sim_instance *inst = sim_instance(sim, i);
+		GString *members = g_string_new(NULL);
+		struct homes_status st;
+
+		for (uint32_t id = 1; inst->core && id <= sim->instances->len; id++)
+			g_string_append_c(members,
+					  states[members_state(core_members(inst->core), id)]);
+		if (inst->core) {
+			homes_get_status(core_homes(inst->core), &st);
+			sim_note(sim,
+				 "%s: members %s, maybe cut %d, homed %u, uncertain %u, shared %u, "
+				 "pins %u",
+				 inst->name, members->str,
+				 members_maybe_cut(core_members(inst->core)), st.homed,
+				 st.uncertain, st.shared, st.pins);
+		}
+		g_string_free(members, TRUE);
+	}
+}
+
 void sim_instance_release(struct sim_instance *inst)
 {
 	core_free(inst->core);
--- a/replay-internal.h
+++ b/replay-internal.h
@@ -288,6 +288,8 @@
 void sim_publish_grants(struct sim *sim);
 void sim_platform_set(struct sim *sim, bool down);
 void sim_check_versions(struct sim *sim);
+/* Notes what each instance believes. */
+void sim_show(struct sim *sim);
 void sim_instance_release(struct sim_instance *inst);
 
 /* replay-traffic.c: callers and targets */
--- a/replay.c
+++ b/replay.c
@@ -493,6 +493,9 @@
 		return do_change(sim, line);
 	case TRACE_LINK:
 		return !set_net(sim, line);
+	case TRACE_SHOW:
+		sim_show(sim);
+		return true;
 	default:
 		return true;
 	}
@@ -523,6 +526,7 @@
 		if (line->verb < TRACE_OPEN)
 			continue;
 		if (line->verb != TRACE_OPEN && line->verb != TRACE_CHANGE &&
+		    line->verb != TRACE_SHOW &&
 		    (!sim->m.first_fault_us || line->at_ms * SIM_US_PER_MS < sim->m.first_fault_us))
 			sim->m.first_fault_us = line->at_ms * SIM_US_PER_MS;
 		if (line->verb == TRACE_ROLL) {
--- a/t/test-fleet.c
+++ b/t/test-fleet.c
@@ -424,10 +424,11 @@
 		sum.retried += c->retried;
 		sum.recoveries += c->recoveries;
 	}
-	g_test_message("seed %llu: %llu flips, %llu settles, %llu pins, %llu retries, %llu recoveries",
-		       (unsigned long long)seed, (unsigned long long)sum.flips,
-		       (unsigned long long)sum.settles, (unsigned long long)sum.pins,
-		       (unsigned long long)sum.retried, (unsigned long long)sum.recoveries);
+	g_test_message(
+		"seed %llu: %llu flips, %llu settles, %llu pins, %llu retries, %llu recoveries",
+		(unsigned long long)seed, (unsigned long long)sum.flips,
+		(unsigned long long)sum.settles, (unsigned long long)sum.pins,
+		(unsigned long long)sum.retried, (unsigned long long)sum.recoveries);
 	g_test_message("seed %llu: %u opened, %u openings given up, %u resets, %u broken, %u stuck",
 		       (unsigned long long)seed, w.opened, w.gave_up, w.refused, w.broken, w.stuck);
 	if (w.broken || w.stuck)
@@ -445,8 +446,8 @@
 	uint64_t runs = env_number("FLEET_RUNS", 6);
 
 	for (uint64_t seed = first; seed < first + runs; seed++)
-		run_world(seed, 3 + (uint32_t)(seed % 4), 150000,
-			  env_number("FLEET_REUSE", 0) != 0, env_number("FLEET_CUT", 0) != 0);
+		run_world(seed, 3 + (uint32_t)(seed % 4), 150000, env_number("FLEET_REUSE", 0) != 0,
+			  env_number("FLEET_CUT", 0) != 0);
 }
 
 int main(int argc, char **argv)
--- a/trace.c
+++ b/trace.c
@@ -59,6 +59,7 @@
 	[TRACE_RESTORE] = { "restore", true, 1, 1, { NULL } },
 	[TRACE_CHANGE] = { "change", true, 1, 1, { "count", "every_ms" } },
 	[TRACE_LINK] = { "link", true, 0, 0, { "loss", "dup", "jitter_permille" } },
+	[TRACE_SHOW] = { "show", true, 0, 0, { NULL } },
 };
 
 static bool is_number(const char *text)
--- a/trace.h
+++ b/trace.h
@@ -42,6 +42,7 @@
 	TRACE_RESTORE,
 	TRACE_CHANGE,
 	TRACE_LINK,
+	TRACE_SHOW,
 	TRACE_VERBS,
 };
 
