--- a/follow.c
+++ b/follow.c
@@ -73,7 +73,7 @@
 		msg.peer_msg_u.ack.recent.recent_len = pins->len;
 	if (pins)
 		msg.peer_msg_u.ack.recent.recent_val = (peer_pin *)pins->data;
-	shard_reply(ctx, dst, xid, &msg);
+	peer_reply(ctx, dst, xid, &msg);
 }
 
 /* Applies an announcement of the term in force. Returns false when an earlier one is missing. */
@@ -149,7 +149,7 @@
 		state->pins.pins_len = pins->len;
 		state->pins.pins_val = (peer_pin *)pins->data;
 	}
-	shard_reply(ctx, dst, xid, &msg);
+	peer_reply(ctx, dst, xid, &msg);
 }
 
 /* The home's answer to a member that asks for the buckets alone. */
@@ -395,5 +395,5 @@
 	default:
 		return;
 	}
-	shard_reply(ctx, src, xid, &out);
+	peer_reply(ctx, src, xid, &out);
 }
--- a/park.c
+++ b/park.c
@@ -121,7 +121,7 @@
 	g_hash_table_foreach_remove(homes->calls, call_expired, &expiry);
 }
 
-void shard_reply(struct ctx *ctx, uint32_t dst, uint32_t xid, const peer_msg *msg)
+void peer_reply(struct ctx *ctx, uint32_t dst, uint32_t xid, const peer_msg *msg)
 {
 	if (xid)
 		actions_add_peer(ctx->out,
--- a/pass.c
+++ b/pass.c
@@ -16,7 +16,7 @@
 	peer_msg msg = { .type = PEER_PASS_RESULT };
 
 	msg.peer_msg_u.pass_result = res;
-	shard_reply(ctx, dst, xid, &msg);
+	peer_reply(ctx, dst, xid, &msg);
 }
 
 /* The header of a message to the home: the newest term that this instance knows. */
--- a/query.c
+++ b/query.c
@@ -320,7 +320,7 @@
 		if (flow->answered_ms)
 			msg.peer_msg_u.flow.answered_age_ms = now_ms - flow->answered_ms;
 	}
-	shard_reply(ctx, src, xid, &msg);
+	peer_reply(ctx, src, xid, &msg);
 }
 
 /* Prefers a flow that was opened over one that was only tried, then the later one. */
--- a/recover.c
+++ b/recover.c
@@ -115,8 +115,7 @@
 			peer = &g_array_index(lead->peers, struct shard_peer, lead->peers->len - 1);
 		}
 		if (state != peer->state && state == MEMBER_JOINING) {
-			/* A new process: what the former one knew, and its copies of pins, are
-			 * gone. */
+			/* A new process: what the former one knew, and its copies of pins, are gone. */
 			peer->answered = false;
 			peer->acked = 0;
 		}
--- a/shard.h
+++ b/shard.h
@@ -239,7 +239,7 @@
 		   uint32_t tries, const peer_msg *msg);
 void calls_expire(struct homes *homes, struct ctx *ctx);
 void call_free(struct homes *homes, struct call *call);
-void shard_reply(struct ctx *ctx, uint32_t dst, uint32_t xid, const peer_msg *msg);
+void peer_reply(struct ctx *ctx, uint32_t dst, uint32_t xid, const peer_msg *msg);
 void opening_save(struct homes *homes, struct ctx *ctx, uint64_t hash, const struct packet *pkt);
 const struct saved_opening *opening_saved(struct homes *homes, struct ctx *ctx, uint64_t hash,
 					  uint32_t opening_id);
--- a/t/fleet.h
+++ b/t/fleet.h
@@ -141,16 +141,14 @@
 
 	for (uint32_t id = 1; id <= NODES_MAX; id++) {
 		uint64_t w = (addr.ep.ip * 31ULL + shard * 7919ULL + id * 104729ULL) *
-				     0x9e3779b97f4a7c15ULL >>
-			     40;
+			     0x9e3779b97f4a7c15ULL >> 40;
 		uint32_t pos = nr;
 
 		if (!fake_candidate(mem, id))
 			continue;
-		while (pos > 0 &&
-		       ((addr.ep.ip * 31ULL + shard * 7919ULL + order[pos - 1] * 104729ULL) *
-				0x9e3779b97f4a7c15ULL >>
-			40) < w) {
+		while (pos > 0 && ((addr.ep.ip * 31ULL + shard * 7919ULL +
+				    order[pos - 1] * 104729ULL) *
+				   0x9e3779b97f4a7c15ULL >> 40) < w) {
 			order[pos] = order[pos - 1];
 			pos--;
 		}
@@ -437,8 +435,7 @@
 			fleet_send(fleet, node->id, act->dst, act->type, 0, bytes);
 			break;
 		case ACTION_PEER_REPLY:
-			/* xids are pending calls' places in the order of calls, see fleet_deliver()
-			 */
+			/* xids are pending calls' places in the order of calls, see fleet_deliver() */
 			fleet_send(fleet, node->id, act->dst, act->type, act->xid, bytes);
 			break;
 		case ACTION_PEER_CALL:
--- a/t/test-fleet.c
+++ b/t/test-fleet.c
@@ -16,8 +16,8 @@
 enum phase { IDLE, OPENING, OPEN };
 
 struct sim_flow {
-	uint32_t payload_target;    /* TARGET_NONE before any payload */
-	uint32_t heard_target;	    /* whose acceptance reached the caller */
+	uint32_t payload_target; /* TARGET_NONE before any payload */
+	uint32_t heard_target;	 /* whose acceptance reached the caller */
 	uint32_t conn[TARGETS_MAX]; /* opening id that the target accepted */
 };
 
@@ -148,8 +148,8 @@
 	if (refuse) {
 		trace(w, "reset flow", sim->flow, 0, 0);
 		if (sim->kind == PACKET_OPENING && flow->payload_target != TARGET_NONE)
-			violation(w, "refusal of a request that was run", sim, flow->payload_target,
-				  0);
+			violation(w, "refusal of a request that was run", sim,
+				  flow->payload_target, 0);
 		if (slot->phase == OPEN)
 			w->broken++;
 		w->refused++;
@@ -159,8 +159,7 @@
 	slot->waiting_since = 0;
 	if (slot->phase == OPEN) {
 		if (flow->heard_target != sim->target)
-			violation(w, "answers of two targets", sim, flow->heard_target,
-				  sim->target);
+			violation(w, "answers of two targets", sim, flow->heard_target, sim->target);
 		return;
 	}
 	trace(w, "opened flow/target", sim->flow, sim->target, 0);
