run: join the loop and the platform's feed

Cause: the loop and the feed were written apart, and a balancer got neither configuration nor the list of instances.

Ruled out: letting the loop know the feed; a replay or another platform then could not take its place.

--- a/builtin/run.c
+++ b/builtin/run.c
@@ -1,6 +1,7 @@
 #include "builtin.h"
 
 #include <argtable2.h>
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -8,6 +9,7 @@
 #include "http.h"
 #include "log.h"
 #include "loop.h"
+#include "watcher.h"
 
 /* Incarnations count quarter seconds from here, so that a restart always has a higher one. */
 #define INCARNATION_EPOCH_S 1704067200 /* 2024-01-01; 32 bits last until 2058 */
@@ -29,6 +31,7 @@
 		.random = system_random(),
 		.incarnation = current_incarnation(),
 	};
+	struct watcher *watcher = NULL;
 	struct loop *loop;
 	int ret;
 
@@ -44,6 +47,10 @@
 	ret = http_listen(loop);
 	if (!ret)
 		ret = loop_catch_signals(loop);
+	if (!ret) {
+		watcher = watcher_start(loop, opts.clock, opts.random);
+		ret = watcher ? 0 : -ENOMEM;
+	}
 	if (!ret) {
 		log_event(LOG_LEVEL_INFO,
 			  "event=start version=" JUJUBESTAGE_VERSION
@@ -54,6 +61,9 @@
 	} else {
 		log_event(LOG_LEVEL_ERROR, "event=start_failed error=\"%s\"", strerror(-ret));
 	}
+	if (watcher)
+		loop_set_watcher(loop, NULL);
+	watcher_free(watcher);
 	loop_free(loop);
 cleanup:
 	log_release();
