--- a/assign.c
+++ b/assign.c
@@ -65,7 +65,7 @@
 	       (st.report_age_ms <= LOAD_REPORT_MAX_AGE_MS && st.load_permille >= permille);
 }
 
-static void share(struct shard *shard, struct ctx *ctx, uint32_t b)
+void assign_share(struct shard *shard, struct ctx *ctx, uint32_t b)
 {
 	shard->buckets[b].mode = BUCKET_SHARED;
 	shard->lead->changed[b] = shard->epoch;
@@ -99,7 +99,7 @@
 	    (wanted || bucket->current != bucket->base ||
 	     (shard->owner->weights->len > 1 &&
 	      restricted(homes, ctx, bucket->base, OVERLOAD_PERMILLE)))) {
-		share(shard, ctx, b);
+		assign_share(shard, ctx, b);
 		return true;
 	}
 	return false;
--- a/decide.c
+++ b/decide.c
@@ -102,12 +102,12 @@
 		*out = flow;
 		return decide_known(homes, ctx, shard, flow);
 	}
-	if (flow && flow_trusted(flow)) {
+	if (flow) {
 		/*
 		 * A new flow with the key of an old one. Members may still trust their entry of the
 		 * old one, so its target is kept; else they must forget it first.
 		 */
-		if (!target_eligible(homes->tgs, flow->target))
+		if (!flow_trusted(flow) || !target_eligible(homes->tgs, flow->target))
 			return DECIDE_ASK;
 		flow = flow_set(homes, ctx, shard, hash, flow->target, opening_id,
 				flow->flags & (FLOW_BASE | FLOW_HELD));
@@ -116,8 +116,6 @@
 		*fresh = (flow->flags & FLOW_HELD) != 0;
 		return DECIDE_FORWARD;
 	}
-	if (flow)
-		flow_remove(homes, ctx, flow);
 	flow = decide_new(homes, ctx, shard, hash, opening_id, &why);
 	if (!flow)
 		return why;
--- a/follow.c
+++ b/follow.c
@@ -192,6 +192,8 @@
 	pins_gather(homes, ctx, shard, &cursor, PINS_PER_MESSAGE, false, pins);
 	send_state(homes, ctx, shard, src, xid, shard_header(shard), false,
 		   shard->known && !pull->cursor, cursor, pins);
+	if (!cursor)
+		shard->untold = false;
 	g_array_unref(pins);
 }
 
--- a/home.c
+++ b/home.c
@@ -376,7 +376,7 @@
 
 void homes_leave(struct homes *homes, struct ctx *ctx)
 {
-	(void)ctx;
+	homes->leave_by = ts_add_ms(ctx->now, LEAVE_MS);
 	homes->leaving = true;
 	members_set_self(homes->mem, MEMBER_LEAVING);
 }
@@ -384,6 +384,7 @@
 bool homes_left(const struct homes *homes)
 {
 	uint32_t self = members_self(homes->mem);
+	bool late = ts_cmp(homes->last_timer, homes->leave_by) >= 0;
 
 	if (!homes->leaving || homes->parked)
 		return false;
@@ -393,7 +394,8 @@
 		const struct service_state *st = g_ptr_array_index(homes->order, i);
 
 		for (size_t s = 0; s < SHARDS_PER_SERVICE; s++)
-			if (st->shards[s].role != SHARD_FOLLOWER || st->shards[s].home == self)
+			if (st->shards[s].role != SHARD_FOLLOWER || st->shards[s].home == self ||
+			    (st->shards[s].untold && !late))
 				return false;
 	}
 	return true;
--- a/recover.c
+++ b/recover.c
@@ -18,6 +18,7 @@
 	shard->next_sync = ctx->now;
 	if (shard->role == SHARD_FOLLOWER)
 		return;
+	shard->untold |= shard->role == SHARD_HOME;
 	shard->role = SHARD_FOLLOWER;
 	g_array_unref(shard->lead->peers);
 	g_free(shard->lead);
@@ -297,14 +298,18 @@
 }
 
 /* Flows at other targets that another home pinned make the bucket shared. */
-static void share_pinned(struct homes *homes, struct shard *shard, const peer_pin *pin)
+static void share_pinned(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			 const peer_pin *pin)
 {
 	uint32_t b = bucket_of(pin->flow) % BUCKETS_PER_SHARD;
 	const struct bucket *bucket = &shard->buckets[b];
 	const struct flow *flow = flowtab_find(homes->tab, pin->flow);
 
-	if (flow && bucket->mode == BUCKET_SINGLE && flow->target != bucket->base)
-		shard->lead->wanted |= 1ULL << b;
+	/* At once: members that ask for the buckets next must not take this one as single. */
+	if (flow && bucket->mode == BUCKET_SINGLE && flow->target != bucket->base) {
+		shard->epoch++;
+		assign_share(shard, ctx, b);
+	}
 }
 
 /*
@@ -359,7 +364,7 @@
 	for (u_int i = 0; i < state->pins.pins_len; i++) {
 		pin_merge(homes, ctx, shard, &state->pins.pins_val[i]);
 		if (shard->role == SHARD_HOME)
-			share_pinned(homes, shard, &state->pins.pins_val[i]);
+			share_pinned(homes, ctx, shard, &state->pins.pins_val[i]);
 	}
 	if (state->next) {
 		pull(homes, ctx, shard, peer, state->next);
--- a/shard.h
+++ b/shard.h
@@ -26,6 +26,8 @@
 
 /* The other side of a partition can notice it this much later than this one. */
 #define GHOST_MS 2000
+/* A leaving instance waits no longer for a home that does not take over its pins. */
+#define LEAVE_MS 10000
 
 #define CALL_TIMEOUT_MS	  200 /* 25 round trips between data centres */
 #define CALL_TRIES	  3
@@ -126,6 +128,7 @@
 	uint8_t role;
 	bool known;   /* buckets were assigned by some home */
 	bool valid;   /* the view was confirmed by the home and nothing came in between */
+	bool untold;  /* was home here; no newer home has taken over the pins yet */
 	bool elected; /* this instance ranks first */
 	uint32_t term, home, epoch;
 	uint32_t fence_term, fence_home; /* newest term seen or promised */
@@ -180,6 +183,7 @@
 	uint64_t config_changes;
 	bool started;
 	bool leaving;
+	struct timespec leave_by;
 	bool cut;
 	bool fresh;    /* routing lease */
 	bool majority; /* leases of more than half of the members are fresh */
@@ -265,6 +269,8 @@
 /* assign.c: current targets, epochs, announcements. */
 void weights_refresh(struct homes *homes, struct service_state *st);
 void assign_start(struct homes *homes, struct ctx *ctx, struct shard *shard);
+/* Makes a bucket shared in the epoch of @shard; members hear of it with the next timer. */
+void assign_share(struct shard *shard, struct ctx *ctx, uint32_t b);
 void assign_timer(struct homes *homes, struct ctx *ctx, struct shard *shard);
 void assign_settle(struct homes *homes, struct ctx *ctx, struct shard *shard);
 void assign_announced(struct homes *homes, struct ctx *ctx, struct shard *shard,
--- a/t/test-fleet.c
+++ b/t/test-fleet.c
@@ -67,6 +67,16 @@
 {
 	uint64_t hash = fleet_hash(tcp_service, sim->flow);
 
+	for (uint32_t id = 1; id <= w->fleet.nr; id++) {
+		const struct node *node = &w->fleet.nodes[id];
+		const struct flow *flow = node->up ? flowtab_find(node->tab, hash) : NULL;
+
+		if (flow)
+			g_printerr(
+				"instance %u: target %u, flags %#x, opening %u, used %u ms ago\n",
+				id, flow->target, flow->flags, flow->opening_id,
+				flowtab_ms(node->tab, ts_from_ms(w->fleet.now_ms)) - flow->used_ms);
+	}
 	g_error("seed %llu at %lld ms: %s (flow %u, shard %u, bucket %u: target %u, then %u)",
 		(unsigned long long)w->seed, (long long)w->fleet.now_ms, what, sim->flow,
 		shard_of(hash), bucket_of(hash), was, is);
@@ -159,6 +169,12 @@
 		end_flow(w, slot);
 		return;
 	}
+	/*
+	 * The sides of a partition may both open a flow whose SYN reached both; TCP takes the first
+	 * acceptance, and the later one means nothing to an open flow.
+	 */
+	if (w->partitions && slot->phase == OPEN && sim->answer_kind == ANSWER_ACCEPTED)
+		return;
 	slot->waiting_since = 0;
 	if (slot->phase == OPEN) {
 		if (flow->heard_target != sim->target)
