--- a/document.c
+++ b/document.c
@@ -227,6 +227,9 @@
 		if (faults->list->len == before)
 			check_as_instance(text, PEER_OBJECT_ORGANISATION,
 					  json_str(text->root, "organisation"), faults);
+	} else if (kind == DOCUMENT_DATA_CENTRE) {
+		check_as_instance(text, PEER_OBJECT_DATA_CENTRE,
+				  json_str(text->root, "data_centre"), faults);
 	} else if (kind == DOCUMENT_TEMPLATE) {
 		check_template(text, faults);
 	}
--- a/t/test-document.c
+++ b/t/test-document.c
@@ -118,6 +118,27 @@
 	config_free(cfg);
 }
 
+/* A data centre that no target names yet, as the first document or after many others. */
+static void test_data_centres(void)
+{
+	struct signing_key fleet = key_of(1);
+	struct config *cfg = config_new(fleet.public);
+
+	for (int i = 0; i < 40; i++) {
+		gchar *name = g_strdup_printf("dc-%d", i);
+		json_object *doc = json_object_new_object();
+
+		json_object_object_add(doc, "data_centre", json_object_new_string(name));
+		json_object_object_add(doc, "generation", json_object_new_int(1));
+		json_object_object_add(doc, "state", json_object_new_string("withdrawn"));
+		g_assert_cmpint(apply(cfg, doc, &fleet, PEER_OBJECT_DATA_CENTRE, name), ==, 1);
+		g_assert_true(config_dc(cfg, config_dc_index(cfg, name))->withdrawn);
+		json_object_put(doc);
+		g_free(name);
+	}
+	config_free(cfg);
+}
+
 static void test_signature(void)
 {
 	struct signing_key key = key_of(1);
@@ -373,6 +394,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	g_test_add_func("/document/examples", test_examples);
+	g_test_add_func("/document/data-centres", test_data_centres);
 	g_test_add_func("/document/signature", test_signature);
 	g_test_add_func("/document/faults", test_faults);
 	g_test_add_func("/document/servers", test_servers);
