feed: report an outage that only the watches see

Cause: an instance that watches learned of an outage only with its next renewal, up to 30 s later.

Change: two ended watches in a row count as unreachable. A change of the grants reads the organisations again, and no longer the data centres.

Ruled out: reporting after one ended watch, which may be one silent connection.

--- a/feed.c
+++ b/feed.c
@@ -7,8 +7,9 @@
 #include "address.h"
 #include "document.h"
 
-#define REQUEST_ID_BYTES 8
-#define DIRECT_RETRIES	 3 /* writes after a conflict before the next one waits */
+#define REQUEST_ID_BYTES  8
+#define DOWNS_UNREACHABLE 2 /* one alone may be a silent connection */
+#define DIRECT_RETRIES	  3 /* writes after a conflict before the next one waits */
 
 static const peer_object_kind kinds[] = { PEER_OBJECT_GRANTS, PEER_OBJECT_ORGANISATION,
 					  PEER_OBJECT_DATA_CENTRE };
@@ -21,6 +22,7 @@
 	struct platform_watch *watch;
 	lws_sorted_usec_list_t retry;
 	uint32_t retry_ms;
+	unsigned int downs; /* of the watch in a row */
 };
 
 struct entry {
@@ -357,7 +359,7 @@
 	fw->watch = NULL;
 }
 
-/* Documents of organisations can only be judged after the grants that name them. */
+/* Organisations can only be judged after the grants that name them. */
 static void follow_others(struct feed *feed)
 {
 	for (size_t i = 1; i < G_N_ELEMENTS(kinds) && feed->watching; i++) {
@@ -374,18 +376,25 @@
 	switch (what) {
 	case WATCH_CHANGED:
 		take_object(fw, obj);
-		if (fw->kind == PEER_OBJECT_GRANTS)
-			follow_others(feed);
+		/* Documents refused for want of a grant are read again. */
+		if (fw->kind == PEER_OBJECT_GRANTS && feed->watching) {
+			stop(&feed->followers[1]);
+			follow(&feed->followers[1]);
+		}
 		break;
 	case WATCH_LIST_AGAIN:
 		stop(fw);
 		follow(fw);
 		break;
 	case WATCH_UP:
+		fw->downs = 0;
 		note(feed, true);
 		break;
+	case WATCH_DOWN: /* opened again by the client */
+		if (++fw->downs >= DOWNS_UNREACHABLE)
+			note(feed, false);
+		break;
 	case WATCH_DELETED: /* nothing in force ends because its object is deleted */
-	case WATCH_DOWN:    /* opened again by the client */
 		break;
 	}
 }
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -300,6 +300,15 @@
 	g_assert_true(strstr(fx->seen->str, "grants:") < strstr(fx->seen->str, "organisations:"));
 	put_signed(fx, "data-centres", "dc", 2);
 	expect(fx, "data-centres:dc:2 ");
+	/* A new grant may admit an organisation that was refused before. */
+	g_string_truncate(fx->seen, 0);
+	put_signed(fx, "grants", "fleet", 2);
+	expect(fx, "organisations:o:4 ");
+	/* Watches show an outage without waiting for the next call. */
+	set(fx, "down=1");
+	expect(fx, "unreachable ");
+	set(fx, "down=0");
+	expect(fx, " reachable ");
 	feed_watch(feed, false);
 	for (int ms = 0; ms < PATIENCE_MS && stat_of(fx, "waiting"); ms += STEP_MS)
 		platform_sync_wait(fx->sync, STEP_MS);
