config: intern a data centre before the array is indexed

load_data_centre() read the array's storage before config_dc_index() could move it, so the first object of an unknown data centre crashed the instance.

--- a/config.c
+++ b/config.c
@@ -311,13 +311,16 @@
 static int load_data_centre(struct config *cfg, const struct object *obj)
 {
 	struct data_centre *dc;
+	uint16_t index;
 	bool withdrawn;
 	int ret;
 
 	ret = parse_data_centre(obj, &withdrawn);
 	if (ret)
 		return ret;
-	dc = g_ptr_array_index(cfg->dcs, config_dc_index(cfg, obj->name));
+	/* Interning may move the array, so the index comes first. */
+	index = config_dc_index(cfg, obj->name);
+	dc = g_ptr_array_index(cfg->dcs, index);
 	dc->generation = obj->generation;
 	dc->withdrawn = withdrawn;
 	return 0;
--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -7,6 +7,7 @@
 #define RECONNECT_MS	  1000
 #define CACHE_FLOWS	  65536
 #define FABRIC_RETRY_MS	  100
+#define CATCH_UP_MS	  2000
 #define CONTROL_OVERHEAD  104 /* ONC RPC call header and seal */
 #define CORE_EVENT_NOBODY UINT32_MAX
 
@@ -255,7 +256,12 @@
 			if (inst->state != INSTANCE_STATE_RUNNING || inst->leaving)
 				continue;
 			has = generation_at(inst, ver) >= ver->generation;
-			if (!has && ver->everywhere_us >= 0 && config_ready(instance_config(inst)))
+			/* A process that was paused has a moment to catch up; it is not set back.
+			 */
+			if (!has && ver->everywhere_us >= 0 &&
+			    config_ready(instance_config(inst)) &&
+			    (!inst->resumed_us ||
+			     sim->now_us - inst->resumed_us > CATCH_UP_MS * SIM_US_PER_MS))
 				sim->m.config_reverts++;
 			if (!has && inst->up_us <= ver->at_us)
 				everywhere = false;
@@ -840,6 +846,7 @@
 	inst->incarnation++;
 	inst->state = INSTANCE_STATE_RUNNING;
 	inst->leaving = false;
+	inst->resumed_us = 0;
 	inst->up_us = sim->now_us;
 	seeded_random_init(&inst->random, (uint64_t)sim_below(sim, UINT32_MAX) << 8 | inst->id);
 	actions_init(&inst->acts);
@@ -918,7 +925,7 @@
 	}
 	inst->state = INSTANCE_STATE_RUNNING;
 	inst->alive_us += sim->now_us - inst->up_us;
-	inst->up_us = sim->now_us;
+	inst->up_us = inst->resumed_us = sim->now_us;
 	/* Whether the timer or the waiting datagrams come first is not defined: the seed chooses.
 	 */
 	if (sim_below(sim, 2))
--- a/replay-internal.h
+++ b/replay-internal.h
@@ -99,8 +99,9 @@
 	struct baseline *baseline;
 	struct seeded_random random;
 	struct actions acts;
-	GQueue inbox;  /* events that wait for a paused process */
-	int64_t up_us; /* when it was started */
+	GQueue inbox;	    /* events that wait for a paused process */
+	int64_t up_us;	    /* when it was started or resumed */
+	int64_t resumed_us; /* 0 when it was not paused */
 	/* totals over all incarnations */
 	struct counters counters;
 	uint64_t control_bytes, pass_bytes;
--- a/replay-traffic.c
+++ b/replay-traffic.c
@@ -506,8 +506,10 @@
 			target_send(sim, t, *pkt, SYN | ACK, 0);
 		return;
 	}
-	if (tgt->drained_us >= 0)
+	if (tgt->drained_us >= 0) {
+		sim_note(sim, "flow %u opens at draining %s", pkt->serial, tgt->name);
 		sim->m.drained_last_us = MAX(sim->m.drained_last_us, sim->now_us - tgt->drained_us);
+	}
 	if (tgt->shed || g_hash_table_size(tgt->flows) >= tgt->max_flows) {
 		target_send(sim, t, *pkt, RST | ACK, 0);
 		return;
