replay: make the local-withdrawal variant wrong again

Cause: with configuration spread between peers, instances that do not watch got withdrawals too, so the variant passed (1 ms against a bound of 3000).

Change: in this variant peers do not hand out data-centre objects.

Ruled out: relaxing the expectation of the test; the variant must fail.

--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -421,6 +421,11 @@
 		reply.type = PEER_SHARD_STATE;
 		reply.peer_msg_u.state.shard = msg.peer_msg_u.pull.shard;
 		reply.peer_msg_u.state.complete = TRUE;
+	} else if (sim->variant == VARIANT_LOCAL_WITHDRAWAL && msg.type == PEER_CONFIG_PULL &&
+		   msg.peer_msg_u.config_pull.kind == PEER_OBJECT_DATA_CENTRE) {
+		reply.type = PEER_CONFIG_OBJECT;
+		reply.peer_msg_u.object.id.kind = PEER_OBJECT_DATA_CENTRE;
+		reply.peer_msg_u.object.id.name = msg.peer_msg_u.config_pull.name;
 	} else {
 		peer_msg_release(&msg);
 		return NULL;
