member: pass on what the platform's list says of members

Cause: only the two watchers of a group get the list. The others would keep a leaving member as a candidate for homes, so that homes differ, and could not tell a lost data centre from one that the list has as gone.

Change: full entries carry two flags of the list. A leaving member is told again every 20 s and forgotten by those who do not watch when it was not told for 60 s; a restart clears both flags. members_list_ended() is new: confsync calls it when the watch ends. Watchers exchange digests with other groups every 2 s, as others may know no instance of another group.

Ruled out: flags without an end (a member that the list took back stays out at everybody who does not watch).

Figures: test-member, group of nine: all know within 4.5 s; taken back within 90 s.

Conclusion: the list's word reaches members that do not watch it.

--- a/confsync.c
+++ b/confsync.c
@@ -27,8 +27,9 @@
 #define MISMATCH_JITTER_MS 100
 
 /*
- * One exchange with another group in 2 s for each six members: three a second from a group of any
- * size, so that a group that comes back into contact learns what it missed within a second.
+ * Each watcher makes an exchange with another group every 2 s, the other members so many that it is
+ * three a second in a group of any size. A group that comes back into contact then learns what it
+ * missed within about a second. Members that do not watch the list may know no other group.
  */
 #define OTHER_GROUP_MS	    2000
 #define OTHER_GROUP_MEMBERS 6
@@ -509,6 +510,8 @@
 	if (on == sync->watching || (nobody && sync->watching))
 		return;
 	sync->watching = on;
+	if (!on)
+		members_list_ended(sync->mem, ctx);
 	actions_add(ctx->out, (struct action){ .type = ACTION_WATCH, .on = on }, NULL, 0);
 }
 
@@ -518,8 +521,10 @@
 
 	if (ts_cmp(ctx->now, sync->next_other) < 0 || sync->exchange.active)
 		return;
-	period = OTHER_GROUP_MS * MAX(members_count(sync->mem), OTHER_GROUP_MEMBERS) /
-		 OTHER_GROUP_MEMBERS;
+	period = OTHER_GROUP_MS;
+	if (!sync->watching)
+		period = period * MAX(members_count(sync->mem), OTHER_GROUP_MEMBERS) /
+			 OTHER_GROUP_MEMBERS;
 	sync->next_other =
 		ts_add_ms(ctx->now, period * 3 / 4 + random_below(ctx->random, period / 2));
 	peer = members_other_group(sync->mem, ctx);
--- a/heartbeat.c
+++ b/heartbeat.c
@@ -115,7 +115,9 @@
 	dr->members[dr->hb.members.members_len++] = (peer_member){
 		.instance = m->id,
 		.incarnation = m->incarnation,
-		.counter_state = m->counter << 4 | m->claimed,
+		.counter_state = m->counter << 4 | m->claimed |
+				 (m->list_gone ? PEER_MEMBER_LIST_GONE : 0) |
+				 (m->list_leaving ? PEER_MEMBER_LIST_LEAVING : 0),
 	};
 	dr->bytes += FULL_ENTRY;
 }
@@ -154,8 +156,8 @@
 			continue;
 		if (full && m->state != MEMBER_DEAD) {
 			add_full(dr, m);
-		} else if (m->change_sends &&
-			   (m->state != MEMBER_DEAD || m->claimed == PEER_MEMBER_LEFT)) {
+		} else if (m->change_sends && (m->state != MEMBER_DEAD ||
+					       m->claimed == PEER_MEMBER_LEFT || m->list_gone)) {
 			m->change_sends--;
 			add_full(dr, m);
 			add_contact(dr, m);
@@ -365,16 +367,20 @@
 {
 	for (u_int i = 0; i < hb->members.members_len; i++) {
 		const peer_member *pm = &hb->members.members_val[i];
+		struct member *m;
 
 		if (pm->instance == mem->self->id) {
 			if (pm->incarnation == mem->self->incarnation)
 				members_echo(mem, pm->counter_state >> 4);
 			continue;
 		}
-		if (pm->instance == MEMBER_NONE || (pm->counter_state & 0xf) > PEER_MEMBER_LEFT)
+		if (pm->instance == MEMBER_NONE)
 			continue;
-		member_advance(mem, member_get(mem, pm->instance, ctx->now), pm->incarnation,
-			       pm->counter_state >> 4, pm->counter_state & 0xf, ctx->now, false);
+		m = member_get(mem, pm->instance, ctx->now);
+		member_advance(mem, m, pm->incarnation, pm->counter_state >> 4,
+			       pm->counter_state & PEER_MEMBER_LEFT, ctx->now, false);
+		if (m->incarnation == pm->incarnation)
+			member_told(mem, m, pm->counter_state, ctx->now);
 	}
 }
 
--- a/member-internal.h
+++ b/member-internal.h
@@ -30,6 +30,12 @@
  */
 #define CHANGE_SENDS 6
 
+/*
+ * What the list has on a leaving member is told again in this interval, and forgotten by those who
+ * do not watch it when it was not told for three of them.
+ */
+#define TELL_LIST_MS 20000
+
 struct member {
 	uint32_t id;
 	uint32_t incarnation;
@@ -40,6 +46,7 @@
 	bool in_list;		   /* in the platform's latest list */
 	bool list_leaving;
 	bool list_gone;
+	struct timespec told_at;      /* when a member last said that the list has it leaving */
 	struct timespec heard_at;     /* when its counter last went up, or when it was added */
 	struct timespec suspected_at; /* when another observer last suspected it */
 	uint32_t suspected_by;	      /* MEMBER_NONE for nobody */
@@ -71,7 +78,8 @@
 	struct timespec grace_end; /* own suspicions are not told before */
 	bool started;
 	bool slept;
-	bool have_list;
+	bool have_list;	   /* got one at some time */
+	bool list_current; /* watches it */
 
 	struct timespec next_send;
 	struct timespec last_answer; /* of the last heartbeat sent out of turn */
@@ -89,6 +97,13 @@
 /* Takes a counter seen for @incarnation. Returns false when it is old news. */
 bool member_advance(struct members *mem, struct member *m, uint32_t incarnation, uint32_t counter,
 		    peer_member_state claimed, struct timespec now, bool direct);
+/* A member that watches the list says what that has on @m (PEER_MEMBER_LIST_* flags). */
+void member_told(struct members *mem, struct member *m, uint32_t flags, struct timespec now);
+/* Watchers repeat who is leaving; the others forget it when it is not repeated. */
+void member_follow_list(struct members *mem, struct member *m, struct timespec now);
+/* Adds a listed instance as a member or as one of another group. */
+void member_add_instance(struct members *mem, const struct instance_info *info,
+			 struct timespec now);
 /* The counter of this instance came back from the group. */
 void members_echo(struct members *mem, uint32_t counter);
 /* Notes the time; a gap longer than the lease is a pause of this process. */
--- a/member.c
+++ b/member.c
@@ -64,30 +64,6 @@
 	return m->claimed == PEER_MEMBER_LEFT || (m->list_gone && m->state == MEMBER_DEAD);
 }
 
-static void add_instance(struct members *mem, const struct instance_info *info, struct timespec now)
-{
-	struct member *m;
-
-	if (info->id == MEMBER_NONE)
-		return;
-	if (strcmp(info->group, mem->group) != 0) {
-		struct stranger s = { info->id, info->peer };
-
-		for (guint i = 0; i < mem->strangers->len; i++) {
-			if (g_array_index(mem->strangers, struct stranger, i).id == info->id) {
-				g_array_index(mem->strangers, struct stranger, i) = s;
-				return;
-			}
-		}
-		g_array_append_val(mem->strangers, s);
-		return;
-	}
-	m = member_get(mem, info->id, now);
-	m->ep = info->peer;
-	if (info->data_centre[0])
-		m->dc = g_intern_string(info->data_centre);
-}
-
 struct members *members_new(const struct members_options *opts)
 {
 	struct members *mem = g_new0(struct members, 1);
@@ -103,7 +79,7 @@
 	mem->self->heard = true;
 	mem->self->dc = g_intern_string(opts->data_centre);
 	for (size_t i = 0; i < opts->nr_seeds; i++)
-		add_instance(mem, &opts->seeds[i], zero);
+		member_add_instance(mem, &opts->seeds[i], zero);
 	if (opts->peer.port)
 		mem->self->ep = opts->peer;
 	mem->size = mem->list->len;
@@ -231,6 +207,7 @@
 	for (guint i = 0; i < mem->list->len; i++) {
 		struct member *m = g_ptr_array_index(mem->list, i);
 
+		member_follow_list(mem, m, now);
 		set_state(m, judge(mem, m, now, lease), now);
 		if (m != mem->self && m->state == MEMBER_DEAD && !m->in_list && !m->ep.port &&
 		    member_age_ms(m, now) > FORGET_AFTER_MS) {
@@ -304,6 +281,8 @@
 			m->change_sends = CHANGE_SENDS;
 	} else {
 		/* A restart: what the old incarnation held is gone, unless it had left. */
+		if (m->heard && !mem->list_current)
+			m->list_gone = m->list_leaving = false;
 		if (m->heard && m->claimed == PEER_MEMBER_LIVE && !dead)
 			m->lost_at = now;
 		if (m->heard)
@@ -333,41 +312,6 @@
 		mem->echoed = at;
 }
 
-void members_list(struct members *mem, struct ctx *ctx, const struct instance_info *list, size_t nr)
-{
-	members_note_time(mem, ctx->now);
-	for (guint i = 0; i < mem->list->len; i++) {
-		struct member *m = g_ptr_array_index(mem->list, i);
-
-		/* Listed before and not any more. */
-		m->list_gone = m->list_gone || m->in_list;
-		m->in_list = false;
-		m->list_leaving = false;
-	}
-	g_array_set_size(mem->strangers, 0);
-	for (size_t i = 0; i < nr; i++) {
-		struct member *m;
-
-		if (list[i].phase == INSTANCE_GONE) {
-			m = member_find(mem, list[i].id);
-			if (m)
-				m->list_gone = true;
-			continue;
-		}
-		add_instance(mem, &list[i], ctx->now);
-		m = member_find(mem, list[i].id);
-		if (!m || strcmp(list[i].group, mem->group) != 0)
-			continue;
-		if (m->list_gone && !m->heard)
-			m->heard_at = ctx->now;
-		m->in_list = true;
-		m->list_gone = false;
-		m->list_leaving = list[i].phase == INSTANCE_LEAVING;
-	}
-	mem->have_list = true;
-	members_refresh(mem, ctx->now);
-}
-
 bool members_timer(struct members *mem, struct ctx *ctx)
 {
 	bool changed;
--- a/member.h
+++ b/member.h
@@ -45,6 +45,8 @@
  */
 void members_list(struct members *mem, struct ctx *ctx, const struct instance_info *list,
 		  size_t nr);
+/* This instance no longer watches the list: what others tell of it counts again. */
+void members_list_ended(struct members *mem, struct ctx *ctx);
 /* Takes a heartbeat of @src. Returns true when the view changed. */
 bool members_heartbeat(struct members *mem, struct ctx *ctx, uint32_t src,
 		       const peer_heartbeat *hb);
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -85,6 +85,8 @@
 };
 typedef struct peer_member peer_member;
 #define PEER_MEMBER_WANTS_FULL 8
+#define PEER_MEMBER_LIST_GONE 4
+#define PEER_MEMBER_LIST_LEAVING 8
 
 struct peer_contact {
 	u_int instance;
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -77,6 +77,10 @@
 /* Flag of the sender's own counter_state: its view lacks members, it asks for full entries. */
 const PEER_MEMBER_WANTS_FULL = 8;
 
+/* Flags of a full entry, from the platform's list, for members that do not watch it. */
+const PEER_MEMBER_LIST_GONE = 4;
+const PEER_MEMBER_LIST_LEAVING = 8;
+
 /* Where an instance of the group receives peer messages, for peers that the list did not tell. */
 struct peer_contact {
 	unsigned int instance;
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -184,6 +184,32 @@
 	}
 }
 
+/* Guards against members that do not watch the list and never learn what it says. */
+static void test_list_told(void)
+{
+	struct simnet *net = start(17, 9, 9, 8000);
+	struct ctx ctx = sim_ctx(net, &net->nodes[0]);
+
+	net->nodes[1].down = true;
+	net->infos[1].phase = INSTANCE_GONE;
+	net->infos[2].phase = INSTANCE_LEAVING;
+	members_list(net->nodes[0].mem, &ctx, net->infos, 9);
+	sim_run(net, 4500);
+	for (uint32_t i = 3; i < 9; i++) {
+		g_assert_cmpint(seen(net, i, 1), ==, MEMBER_DEAD);
+		g_assert_cmpint(seen(net, i, 2), ==, MEMBER_LEAVING);
+	}
+	sim_run(net, 120000);
+	g_assert_cmpint(seen(net, 8, 2), ==, MEMBER_LEAVING);
+	/* The list took it back; those who were told forget it in time. */
+	net->infos[2].phase = INSTANCE_LIVE;
+	ctx.now = net->now;
+	members_list(net->nodes[0].mem, &ctx, net->infos, 9);
+	sim_run(net, 90000);
+	g_assert_cmpint(seen(net, 8, 2), ==, MEMBER_LIVE);
+	simnet_free(net);
+}
+
 /* Guards against elimination while a cut-off data centre may have opened flows. */
 static void test_maybe_cut(void)
 {
@@ -303,6 +329,7 @@
 	g_test_add_func("/member/paused", test_paused);
 	g_test_add_func("/member/restart", test_restart);
 	g_test_add_func("/member/list", test_list);
+	g_test_add_func("/member/list-told", test_list_told);
 	g_test_add_func("/member/maybe-cut", test_maybe_cut);
 	g_test_add_func("/member/contacts", test_contacts);
 	g_test_add_func("/member/large-vector", test_large_vector);
