home: tell flows at a base that changed before a partition

Sides of a partition can have different bases for a bucket when a member missed a change. Flows confirmed while the shard is guarded are held, and flows at a new base are told for 30 s. An instance that is alone because of a partition no longer leaves at once.

--- a/assign.c
+++ b/assign.c
@@ -332,6 +332,8 @@
 		target = settled_at(homes, ctx, shard, b);
 		if (target == TARGET_NONE)
 			continue;
+		if (bucket->base != target)
+			shard->base_ms[b] = flowtab_ms(homes->tab, ctx->now);
 		bucket->base = target;
 		bucket->mode = BUCKET_SINGLE;
 		lead->changed[b] = ++shard->epoch;
--- a/decide.c
+++ b/decide.c
@@ -144,6 +144,8 @@
 			return DECIDE_ASK;
 		if (payload_len)
 			flow->flags |= FLOW_PAYLOAD;
+		if (shard->lead->guarded)
+			flow->flags |= FLOW_HELD;
 		*out = flow;
 		return DECIDE_FORWARD;
 	}
@@ -213,7 +215,7 @@
 			ctx->counters->drop_quota++;
 			return DECIDE_DROP;
 		}
-		flow->flags |= FLOW_ESTABLISHED;
+		flow->flags |= FLOW_ESTABLISHED | (shard->lead->guarded ? FLOW_HELD : 0);
 	} else if (!flow && !lead_uncertain(shard, ctx) && target != bucket->base &&
 		   shard->owner->addr.proto == IPPROTO_TCP) {
 		/* Not in the complete table, so the flow is at the base. */
--- a/flow.c
+++ b/flow.c
@@ -148,11 +148,13 @@
 void pins_gather(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t *cursor,
 		 guint max, bool held_only, GArray *pins)
 {
+	uint32_t now_ms = flowtab_ms(homes->tab, ctx->now);
 	uint32_t b = *cursor >> 24;
 	size_t pos = *cursor & 0xffffff;
 
 	for (; b < BUCKETS_PER_SHARD; b++, pos = 0) {
 		const struct bucket *bucket = &shard->buckets[b];
+		bool all = shard->base_ms[b] && now_ms - shard->base_ms[b] <= BASE_TOLD_MS;
 		struct flow *flow;
 
 		while (pins->len < max &&
@@ -160,13 +162,10 @@
 			bool held = (flow->flags & FLOW_HELD) != 0;
 			peer_pin pin;
 
-			if (!flow_of_shard(homes, shard, flow) ||
-			    flow_expired(flow, flowtab_ms(homes->tab, ctx->now), homes))
+			if (!flow_of_shard(homes, shard, flow) || flow_expired(flow, now_ms, homes))
 				continue;
-			if (held_only
-				    ? !held
-				    : flow->target == bucket->base && !(flow->flags & FLOW_HELD) &&
-					      !flow_recent(homes, ctx, flow))
+			if (!held && (held_only || (flow->target == bucket->base && !all &&
+						    !flow_recent(homes, ctx, flow))))
 				continue;
 			pin = pin_encode(homes, ctx, flow);
 			g_array_append_val(pins, pin);
--- a/follow.c
+++ b/follow.c
@@ -11,8 +11,8 @@
 	return tc ? tc->index : TARGET_NONE;
 }
 
-bool follow_take_buckets(struct homes *homes, struct shard *shard, const peer_bucket *buckets,
-			 u_int nr)
+bool follow_take_buckets(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			 const peer_bucket *buckets, u_int nr)
 {
 	for (u_int i = 0; i < nr; i++) {
 		uint32_t b = buckets[i].index_mode >> 8;
@@ -21,12 +21,18 @@
 		if (b >= BUCKETS_PER_SHARD || mode > BUCKET_SHARED)
 			return false;
 	}
-	for (u_int i = 0; i < nr; i++)
-		shard->buckets[buckets[i].index_mode >> 8] = (struct bucket){
-			.base = decode_target(homes, shard, &buckets[i].base),
+	for (u_int i = 0; i < nr; i++) {
+		uint32_t b = buckets[i].index_mode >> 8;
+		uint32_t base = decode_target(homes, shard, &buckets[i].base);
+
+		if (shard->known && shard->buckets[b].base != base)
+			shard->base_ms[b] = flowtab_ms(homes->tab, ctx->now);
+		shard->buckets[b] = (struct bucket){
+			.base = base,
 			.current = decode_target(homes, shard, &buckets[i].current),
 			.mode = (uint8_t)buckets[i].index_mode,
 		};
+	}
 	shard->known = true;
 	return true;
 }
@@ -87,7 +93,8 @@
 		return true; /* repeated: acknowledged again, with the recent flows */
 	if (same ? ann->since > shard->epoch : ann->since)
 		return false;
-	if (!follow_take_buckets(homes, shard, ann->buckets.buckets_val, ann->buckets.buckets_len))
+	if (!follow_take_buckets(homes, ctx, shard, ann->buckets.buckets_val,
+				 ann->buckets.buckets_len))
 		return false;
 	for (uint32_t b = 0; !same && b < BUCKETS_PER_SHARD; b++)
 		shard->confirm_ms[b] = now_ms;
@@ -209,7 +216,7 @@
 		return;
 	newer = shard->term != state->shard.term || shard->home != state->shard.home ||
 		shard->epoch < state->shard.epoch;
-	if (newer && !follow_take_buckets(homes, shard, state->buckets.buckets_val,
+	if (newer && !follow_take_buckets(homes, ctx, shard, state->buckets.buckets_val,
 					  state->buckets.buckets_len))
 		return;
 	if (newer) {
--- a/home.c
+++ b/home.c
@@ -388,7 +388,8 @@
 
 	if (!homes->leaving || homes->parked)
 		return false;
-	if (!homes->peers->len)
+	/* Alone because of a partition: the others need what this instance knows when it heals. */
+	if (!homes->peers->len && (!homes->cut || late))
 		return true;
 	for (guint i = 0; i < homes->order->len; i++) {
 		const struct service_state *st = g_ptr_array_index(homes->order, i);
--- a/recover.c
+++ b/recover.c
@@ -354,7 +354,7 @@
 				   lead->best_home);
 
 		if (cmp > 0 || (cmp == 0 && state->shard.epoch > lead->best_epoch)) {
-			follow_take_buckets(homes, shard, state->buckets.buckets_val,
+			follow_take_buckets(homes, ctx, shard, state->buckets.buckets_val,
 					    state->buckets.buckets_len);
 			lead->best_term = state->shard.term;
 			lead->best_home = state->shard.home;
--- a/shard.h
+++ b/shard.h
@@ -21,6 +21,7 @@
 /* An opening that no target accepted, and a flow whose target is gone, are remembered for this. */
 #define UNOPENED_KEEP_MS 60000
 #define BASE_GONE_MS	 60000
+#define BASE_TOLD_MS	 30000
 /* Losses in this time before a recovery count as one: pins were not copied again in between. */
 #define LOSS_WINDOW_MS (3 * DEAD_AFTER_MS)
 
@@ -144,6 +145,11 @@
 	 * could otherwise choose another target for a new flow with the same key.
 	 */
 	uint32_t confirm_ms[BUCKETS_PER_SHARD];
+	/*
+	 * When the base changed. For BASE_TOLD_MS, flows at the base are told to a new home as
+	 * well: a member that missed the change may have taken over with the old base.
+	 */
+	uint32_t base_ms[BUCKETS_PER_SHARD];
 	struct shard_lead *lead;
 };
 
@@ -309,8 +315,8 @@
 		 uint32_t xid, const peer_pin_batch *batch);
 /* Answers a message on a service that this instance does not know (yet): it keeps nothing of it. */
 void follow_unknown(struct ctx *ctx, uint32_t src, uint32_t xid, const peer_msg *msg);
-bool follow_take_buckets(struct homes *homes, struct shard *shard, const peer_bucket *buckets,
-			 u_int nr);
+bool follow_take_buckets(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			 const peer_bucket *buckets, u_int nr);
 
 /* decide.c: the home's decisions. */
 enum decision {
--- a/t/test-fleet.c
+++ b/t/test-fleet.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 
 #include "fleet.h"
+#include "shard.h"
 
 #define SLOTS	  40
 #define FLOWS_MAX 20000
@@ -71,6 +72,17 @@
 		const struct node *node = &w->fleet.nodes[id];
 		const struct flow *flow = node->up ? flowtab_find(node->tab, hash) : NULL;
 
+		if (node->up) {
+			const struct shard *shard =
+				homes_shard(node->homes, tcp_service, shard_of(hash));
+			const struct bucket *bucket =
+				&shard->buckets[bucket_of(hash) % BUCKETS_PER_SHARD];
+
+			g_printerr("instance %u: role %u, valid %u, term %u of %u, epoch %u, "
+				   "mode %u, base %u, current %u\n",
+				   id, shard->role, shard->valid, shard->term, shard->home,
+				   shard->epoch, bucket->mode, bucket->base, bucket->current);
+		}
 		if (flow)
 			g_printerr(
 				"instance %u: target %u, flags %#x, opening %u, used %u ms ago\n",
