t: add cases of the packet path

Each case names the failure that it guards against. They found that a bucket shared for a retry settled before the retry was made; a shared bucket now stays so for two seconds at least.

--- a/assign.c
+++ b/assign.c
@@ -71,6 +71,7 @@
 	shard->lead->changed[b] = shard->epoch;
 	shard->lead->pending |= 1ULL << b;
 	shard->lead->base_seen_ms[b] = ts_to_ms(ctx->now);
+	shard->lead->shared_ms[b] = ts_to_ms(ctx->now);
 	ctx->counters->flips++;
 }
 
@@ -327,7 +328,8 @@
 	for (uint32_t b = 0; b < BUCKETS_PER_SHARD; b++) {
 		struct bucket *bucket = &shard->buckets[b];
 
-		if (bucket->mode != BUCKET_SHARED || lead->pending & 1ULL << b)
+		if (bucket->mode != BUCKET_SHARED || lead->pending & 1ULL << b ||
+		    ts_to_ms(ctx->now) - lead->shared_ms[b] < SHARED_MIN_MS)
 			continue;
 		target = settled_at(homes, ctx, shard, b);
 		if (target == TARGET_NONE)
--- a/shard.h
+++ b/shard.h
@@ -30,22 +30,24 @@
 /* A leaving instance waits no longer for a home that does not take over its pins. */
 #define LEAVE_MS 10000
 
-#define CALL_TIMEOUT_MS	  200 /* 25 round trips between data centres */
-#define CALL_TRIES	  3
-#define PASS_TIMEOUT_MS	  100
-#define BACKUP_WAIT_MS	  50 /* an opening waits no longer for the backup's copy of its pin */
-#define PINS_PER_MESSAGE  256
-#define RECENT_MAX	  2048 /* pins in one acknowledgement; must fit a UDP datagram */
-#define PARKED_MAX	  4096
-#define PARKED_ORG_MAX	  1024
-#define QUERIES_MAX	  1024
-#define CALLS_MAX	  16384
-#define SAVED_OPENINGS	  4096 /* a power of two */
-#define SAVED_BYTES	  128  /* IPv4 and TCP headers with all options */
-#define SAVED_KEEP_MS	  3000
-#define SYNCS_PER_TIMER	  32
-#define SYNC_INTERVAL_MS  500
-#define REVIEW_MS	  1000
+#define CALL_TIMEOUT_MS	 200 /* 25 round trips between data centres */
+#define CALL_TRIES	 3
+#define PASS_TIMEOUT_MS	 100
+#define BACKUP_WAIT_MS	 50 /* an opening waits no longer for the backup's copy of its pin */
+#define PINS_PER_MESSAGE 256
+#define RECENT_MAX	 2048 /* pins in one acknowledgement; must fit a UDP datagram */
+#define PARKED_MAX	 4096
+#define PARKED_ORG_MAX	 1024
+#define QUERIES_MAX	 1024
+#define CALLS_MAX	 16384
+#define SAVED_OPENINGS	 4096 /* a power of two */
+#define SAVED_BYTES	 128  /* IPv4 and TCP headers with all options */
+#define SAVED_KEEP_MS	 3000
+#define SYNCS_PER_TIMER	 32
+#define SYNC_INTERVAL_MS 500
+#define REVIEW_MS	 1000
+/* A bucket that was shared for a retry must not settle before the retry was made. */
+#define SHARED_MIN_MS	  2000
 #define REFRESH_MS	  10000
 #define RECOVER_HOLD_MS	  1000 /* before a fenced instance claims a shard again */
 #define OVERLOAD_PERMILLE 950
@@ -114,6 +116,7 @@
 	struct timespec cut_since;
 	uint32_t best_term, best_home, best_epoch; /* of the bucket table taken over */
 	int64_t base_seen_ms[BUCKETS_PER_SHARD];
+	int64_t shared_ms[BUCKETS_PER_SHARD]; /* when it became shared */
 	struct timespec next_review;
 	uint64_t targets_version;
 	uint32_t copy_cursor;
--- /dev/null
+++ b/t/test-home.c
@@ -0,0 +1,445 @@
+/*
+ * Cases of the packet path over a small fleet. Each test names the failure that it guards against.
+ */
+#include "fleet.h"
+#include "shard.h"
+
+struct seen {
+	uint32_t node;
+	enum action_type type;
+	uint32_t target;
+	struct sim_bytes sim;
+};
+
+struct fixture {
+	struct fleet fleet;
+	GArray *seen;
+};
+
+static void record(struct fleet *fleet, struct node *node, const struct action *act,
+		   const struct sim_bytes *sim)
+{
+	struct fixture *fix = fleet->arg;
+	struct seen seen = { node->id, act->type, TARGET_NONE, *sim };
+
+	if (act->type == ACTION_FORWARD)
+		seen.target = fleet_target(act);
+	g_array_append_val(fix->seen, seen);
+}
+
+static void fixture_init(struct fixture *fix, gconstpointer nodes)
+{
+	fleet_init(&fix->fleet, GPOINTER_TO_UINT(nodes), 7);
+	fix->fleet.on_packet = record;
+	fix->fleet.arg = fix;
+	fix->seen = g_array_new(FALSE, FALSE, sizeof(struct seen));
+	fleet_run(&fix->fleet, 2000);
+}
+
+static void fixture_release(struct fixture *fix, gconstpointer nodes)
+{
+	(void)nodes;
+	fleet_release(&fix->fleet);
+	g_array_unref(fix->seen);
+}
+
+static uint32_t count(const struct fixture *fix, enum action_type type, uint32_t target)
+{
+	uint32_t nr = 0;
+
+	for (guint i = 0; i < fix->seen->len; i++) {
+		const struct seen *seen = &g_array_index(fix->seen, struct seen, i);
+
+		nr += seen->type == type && (target == TARGET_NONE || seen->target == target);
+	}
+	return nr;
+}
+
+static uint32_t last_target(const struct fixture *fix)
+{
+	for (guint i = fix->seen->len; i-- > 0;)
+		if (g_array_index(fix->seen, struct seen, i).type == ACTION_FORWARD)
+			return g_array_index(fix->seen, struct seen, i).target;
+	return TARGET_NONE;
+}
+
+static void syn(struct fixture *fix, uint32_t node, uint32_t flow, uint32_t id)
+{
+	struct sim_bytes sim = { .flow = flow, .kind = PACKET_OPENING, .opening_id = id };
+
+	fleet_packet(&fix->fleet, node, tcp_service, &sim);
+}
+
+static void data(struct fixture *fix, uint32_t node, uint32_t flow)
+{
+	struct sim_bytes sim = { .flow = flow, .kind = PACKET_DATA, .payload_len = 10 };
+
+	fleet_packet(&fix->fleet, node, tcp_service, &sim);
+}
+
+static void answer(struct fixture *fix, uint32_t node, uint32_t flow, uint32_t id, uint32_t target,
+		   enum answer_kind kind)
+{
+	struct sim_bytes sim = { .flow = flow, .opening_id = id };
+
+	fleet_answer(&fix->fleet, node, tcp_service, target, kind, &sim);
+}
+
+static struct shard *flow_shard(struct fixture *fix, uint32_t node, uint32_t flow)
+{
+	return homes_shard(fix->fleet.nodes[node].homes, tcp_service,
+			   shard_of(fleet_hash(tcp_service, flow)));
+}
+
+static struct bucket *flow_bucket(struct fixture *fix, uint32_t node, uint32_t flow)
+{
+	return shard_bucket(flow_shard(fix, node, flow), fleet_hash(tcp_service, flow));
+}
+
+static uint32_t home_of(struct fixture *fix, uint32_t flow)
+{
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		if (fix->fleet.nodes[id].up && flow_shard(fix, id, flow)->role == SHARD_HOME)
+			return id;
+	g_assert_not_reached();
+}
+
+static uint32_t other_than(struct fixture *fix, uint32_t a)
+{
+	return a % fix->fleet.nr + 1;
+}
+
+/* A flow whose bucket is based at @target and whose home is @home (0 for any). */
+static uint32_t flow_at(struct fixture *fix, uint32_t target, uint32_t home)
+{
+	for (uint32_t flow = 1; flow < 10000; flow++)
+		if (flow_bucket(fix, 1, flow)->base == target &&
+		    (!home || home_of(fix, flow) == home))
+			return flow;
+	g_assert_not_reached();
+}
+
+/* Guards against a target that depends on the instance, and against calls on the direct path. */
+static void test_single(struct fixture *fix, gconstpointer nodes)
+{
+	(void)nodes;
+	for (uint32_t flow = 1; flow <= 50; flow++) {
+		uint32_t base = flow_bucket(fix, 1, flow)->base;
+
+		for (uint32_t id = 1; id <= fix->fleet.nr; id++) {
+			guint before = fix->fleet.pendings->len;
+
+			syn(fix, id, flow, 5);
+			g_assert_cmpuint(last_target(fix), ==, base);
+			data(fix, id, flow);
+			g_assert_cmpuint(last_target(fix), ==, base);
+			g_assert_cmpuint(fix->fleet.pendings->len, ==, before);
+		}
+	}
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 100 * fix->fleet.nr);
+}
+
+/* Guards against a new target while some member still forwards to the old one without asking. */
+static void test_two_phases(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = flow_at(fix, 1, 1);
+	uint32_t flow2;
+
+	(void)nodes;
+	fix->fleet.nodes[2].paused = true;
+	fleet_eligible(&fix->fleet, 1, false);
+	for (int ms = 0; ms < 1500; ms += 100) {
+		fleet_run(&fix->fleet, 100);
+		syn(fix, 1, flow, 5);
+		g_assert_cmpuint(last_target(fix), ==, 1);
+	}
+	fleet_run(&fix->fleet, 3000);
+	/* Later, new flows go elsewhere, and the one that was opened keeps its target. */
+	for (flow2 = flow + 1; flow_bucket(fix, 1, flow2)->base != 1 || home_of(fix, flow2) != 1;)
+		flow2++;
+	syn(fix, 3, flow2, 6);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(last_target(fix), !=, 1);
+	syn(fix, 3, flow, 5);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(last_target(fix), ==, 1);
+	/* Data of an unknown flow is at the base by elimination. */
+	for (flow2++; flow_bucket(fix, 1, flow2)->base != 1 || home_of(fix, flow2) != 1;)
+		flow2++;
+	data(fix, 3, flow2);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(last_target(fix), ==, 1);
+}
+
+/* Guards against refusals that are untrue, retries after payload, and retries beyond the budget. */
+static void test_shed(struct fixture *fix, gconstpointer nodes)
+{
+	const struct {
+		uint32_t budget;
+		bool accepted, payload;
+		bool retried, to_caller;
+	} cases[] = {
+		{ 1, false, false, true, false }, /* the saved opening goes to another target */
+		{ 0, false, false, false, true }, /* no budget: the caller hears the refusal */
+		{ 1, true, false, false, false }, /* opened: the refusal is late and false */
+		{ 1, true, true, false, false },
+	};
+
+	(void)nodes;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint32_t flow = 100 + (uint32_t)i;
+		uint32_t base = flow_bucket(fix, 1, flow)->base;
+		uint32_t before;
+
+		fix->fleet.retries = cases[i].budget;
+		g_array_set_size(fix->seen, 0);
+		syn(fix, 1, flow, 9);
+		if (cases[i].accepted)
+			answer(fix, 2, flow, 9, base, ANSWER_ACCEPTED);
+		if (cases[i].payload)
+			data(fix, 3, flow);
+		before = count(fix, ACTION_ANSWER, TARGET_NONE);
+		answer(fix, 3, flow, 9, base, ANSWER_REFUSED);
+		fleet_run(&fix->fleet, 600);
+		g_assert_cmpint(last_target(fix) != base, ==, cases[i].retried);
+		g_assert_cmpint(count(fix, ACTION_ANSWER, TARGET_NONE) > before, ==,
+				cases[i].to_caller);
+		g_assert_cmpuint(count(fix, ACTION_REFUSE, TARGET_NONE), ==, 0);
+		if (!cases[i].retried)
+			continue;
+		/* The first target's late acceptance must not be heard, the second one's must. */
+		before = count(fix, ACTION_ANSWER, TARGET_NONE);
+		answer(fix, 2, flow, 9, base, ANSWER_ACCEPTED);
+		fleet_run(&fix->fleet, 100);
+		g_assert_cmpuint(count(fix, ACTION_ANSWER, TARGET_NONE), ==, before);
+		answer(fix, 2, flow, 9, last_target(fix), ANSWER_ACCEPTED);
+		fleet_run(&fix->fleet, 100);
+		g_assert_cmpuint(count(fix, ACTION_ANSWER, TARGET_NONE), ==, before + 1);
+	}
+}
+
+/* Guards against refusals while targets have room, and against silence when none has. */
+static void test_refusal(struct fixture *fix, gconstpointer nodes)
+{
+	(void)nodes;
+	for (uint32_t t = 0; t < 4; t++)
+		fix->fleet.full[t] = true;
+	fleet_run(&fix->fleet, 3000);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		syn(fix, id, 30, 3);
+	fleet_run(&fix->fleet, 300);
+	g_assert_cmpuint(count(fix, ACTION_REFUSE, TARGET_NONE), ==, fix->fleet.nr);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 0);
+}
+
+/* Guards against packets that still reach a withdrawn data centre, and callers left waiting. */
+static void test_withdrawal(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = flow_at(fix, 1, 0);
+
+	(void)nodes;
+	syn(fix, 1, flow, 5);
+	answer(fix, 2, flow, 5, 1, ANSWER_ACCEPTED);
+	data(fix, 1, flow);
+	g_array_set_size(fix->seen, 0);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++) {
+		struct node *node = &fix->fleet.nodes[id];
+		struct actions acts;
+		struct ctx ctx;
+
+		fleet_object(node, PEER_OBJECT_DATA_CENTRE, "dc1", 1,
+			     "{\"data_centre\":\"dc1\",\"generation\":1,\"state\":\"withdrawn\"}");
+		ctx = fleet_ctx(&fix->fleet, node, &acts);
+		homes_config_changed(node->homes, &ctx);
+		fleet_done(&fix->fleet, node, &acts);
+		data(fix, id, flow);
+	}
+	fleet_run(&fix->fleet, 1000);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		data(fix, id, flow);
+	answer(fix, 1, flow, 0, 1, ANSWER_DATA);
+	fleet_run(&fix->fleet, 1000);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 0);
+	g_assert_cmpuint(count(fix, ACTION_ANSWER, TARGET_NONE), ==, 0);
+	g_assert_cmpuint(count(fix, ACTION_REFUSE, TARGET_NONE), ==, 2 * fix->fleet.nr);
+	syn(fix, 1, flow_at(fix, 1, 0) + 1, 8);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(last_target(fix) % 2, ==, 0);
+}
+
+/* Guards against silent flows that stay open, and live ones that are ended as silent. */
+static void test_silence(struct fixture *fix, gconstpointer nodes)
+{
+	(void)nodes;
+	for (uint32_t answered = 0; answered <= 1; answered++) {
+		uint32_t flow = 200 + answered;
+		uint32_t base = flow_bucket(fix, 1, flow)->base;
+
+		g_array_set_size(fix->seen, 0);
+		syn(fix, 1, flow, 4);
+		answer(fix, 2, flow, 4, base, ANSWER_ACCEPTED);
+		for (int s = 0; s < 20; s++) {
+			data(fix, 1, flow);
+			if (answered)
+				answer(fix, 3, flow, 0, base, ANSWER_DATA);
+			fleet_run(&fix->fleet, 1000);
+		}
+		g_assert_cmpint(count(fix, ACTION_REFUSE, TARGET_NONE) > 0, ==, !answered);
+	}
+}
+
+/* Guards against a former home, or a repeated message, that undoes what a newer home announced. */
+static void test_old_term(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = 40;
+	uint32_t home = home_of(fix, flow);
+	uint32_t member;
+	peer_bucket bucket = { .index_mode = PEER_BUCKET_UNASSIGNED };
+	peer_msg msg = { .type = PEER_SHARD_ANNOUNCE };
+	struct shard *shard;
+	struct bucket before;
+	struct actions acts;
+	struct ctx ctx;
+
+	(void)nodes;
+	msg.peer_msg_u.announce = (peer_shard_announce){
+		.shard = shard_header(flow_shard(fix, home, flow)),
+		.buckets = { 1, &bucket },
+	};
+	fleet_kill(&fix->fleet, home);
+	fleet_run(&fix->fleet, 10000);
+	g_assert_cmpuint(home_of(fix, flow), !=, home);
+	member = other_than(fix, home_of(fix, flow));
+	member = member == home ? other_than(fix, member) : member;
+	shard = flow_shard(fix, member, flow);
+	g_assert_cmpuint(shard->term, >, msg.peer_msg_u.announce.shard.term);
+	before = shard->buckets[0];
+	msg.peer_msg_u.announce.shard.epoch = 1000;
+	ctx = fleet_ctx(&fix->fleet, &fix->fleet.nodes[member], &acts);
+	homes_peer(fix->fleet.nodes[member].homes, &ctx, home, 77, &msg);
+	g_assert_cmpuint(acts.list->len, ==, 1);
+	homes_reply(fix->fleet.nodes[member].homes, &ctx, home, 123456, CALL_OK, &msg);
+	g_assert_cmpuint(acts.list->len, ==, 1);
+	actions_release(&acts);
+	g_assert_cmpmem(&before, sizeof(before), &shard->buckets[0], sizeof(before));
+	g_assert_cmpuint(fix->fleet.nodes[member].counters.peer_stale_term, ==, 1);
+}
+
+/* Guards against a pinned flow that is lost with its home, and one guessed after two losses. */
+static void test_losses(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t base = 1;
+	uint32_t flow = flow_at(fix, base, 0);
+	uint32_t home = home_of(fix, flow);
+	uint32_t receiver = other_than(fix, home);
+	uint32_t second, target;
+
+	(void)nodes;
+	fleet_eligible(&fix->fleet, base, false);
+	fleet_run(&fix->fleet, 1000);
+	syn(fix, receiver, flow, 5);
+	fleet_run(&fix->fleet, 100);
+	target = last_target(fix);
+	g_assert_cmpuint(target, !=, base);
+	fleet_kill(&fix->fleet, home);
+	fleet_run(&fix->fleet, 10000);
+	fix->fleet.listed_gone[home] = true;
+	fleet_run(&fix->fleet, 1000);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		if (id != receiver && fix->fleet.nodes[id].up)
+			data(fix, id, flow);
+	fleet_run(&fix->fleet, 500);
+	g_assert_cmpuint(last_target(fix), ==, target);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, base), ==, 0);
+	/* Two at once: what they held is unknown, so an unknown flow is not eliminated. */
+	home = home_of(fix, flow);
+	second = other_than(fix, home);
+	while (!fix->fleet.nodes[second].up)
+		second = other_than(fix, second);
+	fleet_kill(&fix->fleet, home);
+	fleet_kill(&fix->fleet, second);
+	fleet_run(&fix->fleet, 10000);
+	fix->fleet.listed_gone[home] = fix->fleet.listed_gone[second] = true;
+	fleet_run(&fix->fleet, 1000);
+	g_array_set_size(fix->seen, 0);
+	for (uint32_t i = flow + 1; i < flow + 3000; i++)
+		if (shard_of(fleet_hash(tcp_service, i)) ==
+			    shard_of(fleet_hash(tcp_service, flow)) &&
+		    flow_bucket(fix, home_of(fix, flow), i)->mode == BUCKET_SHARED)
+			data(fix, home_of(fix, flow), i);
+	fleet_run(&fix->fleet, 1000);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 0);
+	g_assert_cmpuint(fix->fleet.nodes[home_of(fix, flow)].counters.drop_unknown_flow, >, 0);
+}
+
+/* Guards against a known UDP flow that is taken for a new one after a change. */
+static void test_udp(struct fixture *fix, gconstpointer nodes)
+{
+	struct sim_bytes sim = { .flow = 1, .kind = PACKET_DATA, .payload_len = 5 };
+	uint32_t old[200];
+
+	(void)nodes;
+	for (sim.flow = 0; sim.flow < 200; sim.flow++) {
+		fleet_packet(&fix->fleet, 1 + sim.flow % fix->fleet.nr, udp_service, &sim);
+		old[sim.flow] = last_target(fix);
+	}
+	fleet_eligible(&fix->fleet, 4, false);
+	fleet_run(&fix->fleet, 1000);
+	for (sim.flow = 0; sim.flow < 400; sim.flow++) {
+		guint before = fix->seen->len;
+
+		fleet_packet(&fix->fleet, 1 + (sim.flow + 1) % fix->fleet.nr, udp_service, &sim);
+		fleet_run(&fix->fleet, 100);
+		g_assert_cmpuint(fix->seen->len, ==, before + 1);
+		if (sim.flow < 200)
+			g_assert_cmpuint(last_target(fix), ==, old[sim.flow]);
+		else
+			g_assert_cmpuint(last_target(fix), ==, 5);
+	}
+}
+
+/* Guards against answers of another organisation's target, and parked packets without bound. */
+static void test_bounds(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t home = home_of(fix, 1);
+	uint32_t receiver = other_than(fix, home);
+	struct homes_status st;
+
+	(void)nodes;
+	answer(fix, 1, 1, 5, 4, ANSWER_ACCEPTED);
+	g_assert_cmpuint(fix->fleet.nodes[1].counters.drop_foreign, ==, 1);
+	for (uint32_t t = 1; t < 4; t++)
+		fleet_eligible(&fix->fleet, t, false);
+	fleet_run(&fix->fleet, 1000);
+	fix->fleet.loss_permille = 1000;
+	for (uint32_t flow = 1; flow < 5000; flow++)
+		syn(fix, receiver, flow, 5);
+	homes_get_status(fix->fleet.nodes[receiver].homes, &st);
+	g_assert_cmpuint(st.parked, >, 0);
+	g_assert_cmpuint(st.parked, <=, PARKED_ORG_MAX);
+	fix->fleet.loss_permille = 0;
+	fleet_run(&fix->fleet, 1000);
+	homes_get_status(fix->fleet.nodes[receiver].homes, &st);
+	g_assert_cmpuint(st.parked, ==, 0);
+}
+
+#define ADD(name, nodes, fn)                                                                       \
+	g_test_add("/home/" name, struct fixture, GUINT_TO_POINTER(nodes), fixture_init, fn,       \
+		   fixture_release)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	ADD("single", 3, test_single);
+	ADD("two-phases", 5, test_two_phases);
+	ADD("shed", 4, test_shed);
+	ADD("refusal", 4, test_refusal);
+	ADD("withdrawal", 4, test_withdrawal);
+	ADD("silence", 4, test_silence);
+	ADD("old-term", 5, test_old_term);
+	ADD("losses", 6, test_losses);
+	ADD("udp", 4, test_udp);
+	ADD("bounds", 4, test_bounds);
+	return g_test_run();
+}
