--- a/shard.h
+++ b/shard.h
@@ -21,6 +21,7 @@
 /* An opening that no target accepted, and a flow whose target is gone, are remembered for this. */
 #define UNOPENED_KEEP_MS 60000
 #define BASE_GONE_MS	 60000
+#define BASE_TOLD_MS	 30000
 /* Losses in this time before a recovery count as one: pins were not copied again in between. */
 #define LOSS_WINDOW_MS (3 * DEAD_AFTER_MS)
 
@@ -29,22 +30,24 @@
 /* A leaving instance waits no longer for a home that does not take over its pins. */
 #define LEAVE_MS 10000
 
-#define CALL_TIMEOUT_MS	  200 /* 25 round trips between data centres */
-#define CALL_TRIES	  3
-#define PASS_TIMEOUT_MS	  100
-#define BACKUP_WAIT_MS	  50 /* an opening waits no longer for the backup's copy of its pin */
-#define PINS_PER_MESSAGE  256
-#define RECENT_MAX	  2048 /* pins in one acknowledgement; must fit a UDP datagram */
-#define PARKED_MAX	  4096
-#define PARKED_ORG_MAX	  1024
-#define QUERIES_MAX	  1024
-#define CALLS_MAX	  16384
-#define SAVED_OPENINGS	  4096 /* a power of two */
-#define SAVED_BYTES	  128  /* IPv4 and TCP headers with all options */
-#define SAVED_KEEP_MS	  3000
-#define SYNCS_PER_TIMER	  32
-#define SYNC_INTERVAL_MS  500
-#define REVIEW_MS	  1000
+#define CALL_TIMEOUT_MS	 200 /* 25 round trips between data centres */
+#define CALL_TRIES	 3
+#define PASS_TIMEOUT_MS	 100
+#define BACKUP_WAIT_MS	 50 /* an opening waits no longer for the backup's copy of its pin */
+#define PINS_PER_MESSAGE 256
+#define RECENT_MAX	 2048 /* pins in one acknowledgement; must fit a UDP datagram */
+#define PARKED_MAX	 4096
+#define PARKED_ORG_MAX	 1024
+#define QUERIES_MAX	 1024
+#define CALLS_MAX	 16384
+#define SAVED_OPENINGS	 4096 /* a power of two */
+#define SAVED_BYTES	 128  /* IPv4 and TCP headers with all options */
+#define SAVED_KEEP_MS	 3000
+#define SYNCS_PER_TIMER	 32
+#define SYNC_INTERVAL_MS 500
+#define REVIEW_MS	 1000
+/* A bucket that was shared for a retry must not settle before the retry was made. */
+#define SHARED_MIN_MS	  2000
 #define REFRESH_MS	  10000
 #define RECOVER_HOLD_MS	  1000 /* before a fenced instance claims a shard again */
 #define OVERLOAD_PERMILLE 950
@@ -113,6 +116,7 @@
 	struct timespec cut_since;
 	uint32_t best_term, best_home, best_epoch; /* of the bucket table taken over */
 	int64_t base_seen_ms[BUCKETS_PER_SHARD];
+	int64_t shared_ms[BUCKETS_PER_SHARD]; /* when it became shared */
 	struct timespec next_review;
 	uint64_t targets_version;
 	uint32_t copy_cursor;
@@ -144,6 +148,11 @@
 	 * could otherwise choose another target for a new flow with the same key.
 	 */
 	uint32_t confirm_ms[BUCKETS_PER_SHARD];
+	/*
+	 * When the base changed. For BASE_TOLD_MS, flows at the base are told to a new home as
+	 * well: a member that missed the change may have taken over with the old base.
+	 */
+	uint32_t base_ms[BUCKETS_PER_SHARD];
 	struct shard_lead *lead;
 };
 
@@ -309,8 +318,8 @@
 		 uint32_t xid, const peer_pin_batch *batch);
 /* Answers a message on a service that this instance does not know (yet): it keeps nothing of it. */
 void follow_unknown(struct ctx *ctx, uint32_t src, uint32_t xid, const peer_msg *msg);
-bool follow_take_buckets(struct homes *homes, struct shard *shard, const peer_bucket *buckets,
-			 u_int nr);
+bool follow_take_buckets(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			 const peer_bucket *buckets, u_int nr);
 
 /* decide.c: the home's decisions. */
 enum decision {
