--- a/builtin/instance.c
+++ b/builtin/instance.c
@@ -133,6 +133,7 @@
 		goto cleanup;
 	if (!cli.json->count)
 		printf("%s is ordered to drain\n", name->sval[0]);
+	fflush(stdout);
 	if (cli.wait->count)
 		exit_code = wait_gone(&cli, name->sval[0]);
 cleanup:
--- a/feed.c
+++ b/feed.c
@@ -97,11 +97,11 @@
 	lws_sul_schedule(feed->opts.context, 0, timer, NULL, LWS_SET_TIMER_USEC_CANCEL);
 }
 
-static uint32_t backoff(uint32_t *ms)
+static uint32_t backoff(uint32_t *ms, uint32_t max)
 {
 	uint32_t now = *ms;
 
-	*ms = MIN(*ms * 2, (uint32_t)FEED_RETRY_MAX_MS);
+	*ms = MIN(*ms * 2, max);
 	return now;
 }
 
@@ -172,7 +172,8 @@
 	    ++feed->conflicts <= DIRECT_RETRIES)
 		write_entry(feed);
 	else
-		schedule(feed, &feed->reg_timer, on_reg_timer, backoff(&feed->reg_retry_ms));
+		schedule(feed, &feed->reg_timer, on_reg_timer,
+			 backoff(&feed->reg_retry_ms, FEED_RETRY_MAX_MS));
 }
 
 static void on_entry_written(void *arg, const struct platform_result *res)
@@ -185,7 +186,8 @@
 	if (res->status == CALL_OK)
 		entry_written(feed, res->version);
 	else if (res->status == CALL_FAILED)
-		schedule(feed, &feed->reg_timer, on_reg_timer, backoff(&feed->reg_retry_ms));
+		schedule(feed, &feed->reg_timer, on_reg_timer,
+			 backoff(&feed->reg_retry_ms, FEED_RETRY_MAX_MS));
 	else
 		feed->reg_call = pf->ops->get(pf, PLATFORM_KIND_INSTS, feed->opts.self.name,
 					      PLATFORM_CALL_MS, on_entry_read, feed);
@@ -411,7 +413,8 @@
 	if (!feed->watching)
 		return;
 	if (!items || !json_object_is_type(items, json_type_array)) {
-		schedule(feed, &fw->retry, on_follow_timer, backoff(&fw->retry_ms));
+		schedule(feed, &fw->retry, on_follow_timer,
+			 backoff(&fw->retry_ms, WATCH_RETRY_MAX_MS));
 		return;
 	}
 	fw->retry_ms = FEED_RETRY_MIN_MS;
