run: connect the balancer to the platform

The daemon had no source of configuration: the loop's watcher was never set.

run makes the platform client and its feed on the loop's context and sets them as the loop's watcher. The replay now gives the list of instances to all of them, as the feed does.

--- a/builtin/run.c
+++ b/builtin/run.c
@@ -1,10 +1,12 @@
 #include "builtin.h"
 
 #include <argtable2.h>
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 
+#include "feed.h"
 #include "http.h"
 #include "log.h"
 #include "loop.h"
@@ -21,6 +23,87 @@
 	return (uint32_t)((now.tv_sec - INCARNATION_EPOCH_S) * 4 + now.tv_nsec / INCARNATION_NSEC);
 }
 
+/* The platform client as the loop drives it. */
+struct platform_watcher {
+	struct watcher watcher; /* first member */
+	struct platform *platform;
+	struct feed *feed;
+	struct loop *loop;
+};
+
+static void watcher_watch(struct watcher *watcher, bool on)
+{
+	feed_watch(((struct platform_watcher *)watcher)->feed, on);
+}
+
+static void watcher_leaving(struct watcher *watcher, bool gone)
+{
+	feed_set_phase(((struct platform_watcher *)watcher)->feed,
+		       gone ? INSTANCE_GONE : INSTANCE_LEAVING);
+}
+
+static bool watcher_idle(struct watcher *watcher)
+{
+	return feed_phase_written(((struct platform_watcher *)watcher)->feed);
+}
+
+static const struct watcher_ops watcher_ops = {
+	.watch = watcher_watch,
+	.leaving = watcher_leaving,
+	.idle = watcher_idle,
+};
+
+static void post_event(void *arg, const struct event *ev)
+{
+	struct event timed = *ev;
+
+	timed.now = loop_now(arg);
+	loop_post(arg, &timed);
+}
+
+static int watch_platform(struct platform_watcher *pw, struct loop *loop,
+			  const struct loop_options *opts)
+{
+	struct feed_options feed = {
+		.context = loop_context(loop),
+		.clock = opts->clock,
+		.random = opts->random,
+		.self = {
+			.id = opts->set->id,
+			.peer = opts->set->peers,
+			.phase = INSTANCE_LIVE,
+		},
+		.admin = opts->set->admin,
+		.fleet_key = opts->set->fleet_key,
+		.event = post_event,
+		.arg = loop,
+	};
+
+	g_strlcpy(feed.self.name, opts->set->name->str, sizeof(feed.self.name));
+	g_strlcpy(feed.self.group, opts->set->group->str, sizeof(feed.self.group));
+	g_strlcpy(feed.self.data_centre, opts->set->data_centre->str,
+		  sizeof(feed.self.data_centre));
+	*pw = (struct platform_watcher){ .watcher = { &watcher_ops }, .loop = loop };
+	pw->platform = platform_http_new(feed.context, opts->set->platform, opts->random,
+					 core_counters(loop_core(loop)));
+	if (!pw->platform)
+		return -ENOMEM;
+	feed.platform = pw->platform;
+	pw->feed = feed_new(&feed);
+	loop_set_watcher(loop, &pw->watcher);
+	return 0;
+}
+
+static void unwatch_platform(struct platform_watcher *pw)
+{
+	if (pw->loop)
+		loop_set_watcher(pw->loop, NULL);
+	if (pw->feed)
+		feed_free(pw->feed);
+	if (pw->platform)
+		platform_free(pw->platform);
+}
+
 static int serve(const struct settings *set)
 {
 	struct loop_options opts = {
@@ -29,6 +112,7 @@
 		.random = system_random(),
 		.incarnation = current_incarnation(),
 	};
+	struct platform_watcher pw = { .feed = NULL };
 	struct loop *loop;
 	int ret;
 
@@ -42,6 +126,8 @@
 		goto cleanup;
 	}
 	ret = http_listen(loop);
+	if (!ret)
+		ret = watch_platform(&pw, loop, &opts);
 	if (!ret)
 		ret = loop_catch_signals(loop);
 	if (!ret) {
@@ -54,6 +140,7 @@
 	} else {
 		log_event(LOG_LEVEL_ERROR, "event=start_failed error=\"%s\"", strerror(-ret));
 	}
+	unwatch_platform(&pw);
 	loop_free(loop);
 cleanup:
 	log_release();
--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -320,7 +320,7 @@
 
 	ev.instances.list = (const struct instance_info *)(void *)list->data;
 	ev.instances.nr = list->len;
-	if (sim_instance(sim, i)->watching && platform_reachable(sim, i))
+	if (platform_reachable(sim, i))
 		instance_handle(sim, i, &ev);
 	g_array_unref(list);
 }
