--- a/replay-traffic.c
+++ b/replay-traffic.c
@@ -495,7 +495,7 @@
 	return (uint64_t)(nr - 1) * 1000 * 1000 / (uint64_t)bears;
 }
 
-static void take_opening(struct sim *sim, uint32_t t, const struct sim_packet *pkt)
+static void take_opening(struct sim *sim, uint32_t t, const struct sim_packet *pkt, uint32_t via)
 {
 	struct sim_target *tgt = sim_target(sim, t);
 	struct target_flow *flow = target_flow(tgt, pkt->slot);
@@ -507,7 +507,9 @@
 		return;
 	}
 	if (tgt->drained_us >= 0) {
-		sim_note(sim, "flow %u opens at draining %s", pkt->serial, tgt->name);
+		sim_note(sim, "flow %u opens at draining %s through %s, tried %u times",
+			 pkt->serial, tgt->name, sim_instance(sim, via)->name,
+			 flow_at(sim, pkt->slot)->tries + 1);
 		sim->m.drained_last_us = MAX(sim->m.drained_last_us, sim->now_us - tgt->drained_us);
 	}
 	if (tgt->shed || g_hash_table_size(tgt->flows) >= tgt->max_flows) {
@@ -627,7 +629,7 @@
 	if (tgt->dead)
 		return;
 	if (pkt.flags & SYN) {
-		take_opening(sim, ev->a, &pkt);
+		take_opening(sim, ev->a, &pkt, ev->b);
 	} else if (pkt.flags & RST) {
 		g_hash_table_remove(tgt->flows, GUINT_TO_POINTER(pkt.slot));
 	} else {
