--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -648,10 +648,7 @@
 
 	if (!sim_packet_decode(&pkt, bytes, len))
 		return;
-	key = (struct flow_key){
-		.caller = { 0x0a000000u + (pkt.slot >> 15), (uint16_t)(1024 + (pkt.slot & 32767)) },
-		.service = pkt.service,
-	};
+	key = sim_packet_key(&pkt);
 	if (sev->b == CORE_EVENT_NOBODY) {
 		ev.packet = (struct packet){
 			.key = key,
--- a/replay-internal.h
+++ b/replay-internal.h
@@ -296,6 +296,7 @@
 /* replay-traffic.c: callers and targets */
 bool sim_packet_decode(struct sim_packet *pkt, const uint8_t *bytes, size_t len);
 void sim_packet_encode(struct sim_packet *pkt);
+struct flow_key sim_packet_key(const struct sim_packet *pkt);
 uint32_t sim_target_find(const struct sim *sim, struct endpoint ep);
 void sim_open(struct sim *sim, uint32_t generator);
 void sim_flow_event(struct sim *sim, uint32_t slot, uint32_t serial);
--- a/replay-traffic.c
+++ b/replay-traffic.c
@@ -111,6 +111,15 @@
 	return true;
 }
 
+struct flow_key sim_packet_key(const struct sim_packet *pkt)
+{
+	return (struct flow_key){
+		.caller = { 0x0a000000u + (pkt->slot >> 15),
+			    (uint16_t)(1024 + (pkt->slot & 32767)) },
+		.service = pkt->service,
+	};
+}
+
 uint32_t sim_target_find(const struct sim *sim, struct endpoint ep)
 {
 	for (uint32_t t = 0; t < sim->targets->len; t++) {
@@ -495,6 +504,13 @@
 	return (uint64_t)(nr - 1) * 1000 * 1000 / (uint64_t)bears;
 }
 
+static uint32_t packet_bucket(const struct sim *sim, const struct sim_packet *pkt)
+{
+	struct flow_key key = sim_packet_key(pkt);
+
+	return bucket_of(flow_hash(&key, sim->flow_key));
+}
+
 static void take_opening(struct sim *sim, uint32_t t, const struct sim_packet *pkt, uint32_t via)
 {
 	struct sim_target *tgt = sim_target(sim, t);
@@ -507,9 +523,9 @@
 		return;
 	}
 	if (tgt->drained_us >= 0) {
-		sim_note(sim, "flow %u opens at draining %s through %s, tried %u times",
-			 pkt->serial, tgt->name, sim_instance(sim, via)->name,
-			 flow_at(sim, pkt->slot)->tries + 1);
+		sim_note(sim, "flow %u of bucket %u opens at draining %s through %s, try %u",
+			 pkt->serial, packet_bucket(sim, pkt), tgt->name,
+			 sim_instance(sim, via)->name, flow_at(sim, pkt->slot)->tries + 1);
 		sim->m.drained_last_us = MAX(sim->m.drained_last_us, sim->now_us - tgt->drained_us);
 	}
 	if (tgt->shed || g_hash_table_size(tgt->flows) >= tgt->max_flows) {
