--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -320,7 +320,7 @@
 
 	ev.instances.list = (const struct instance_info *)(void *)list->data;
 	ev.instances.nr = list->len;
-	if (sim_instance(sim, i)->watching && platform_reachable(sim, i))
+	if (platform_reachable(sim, i))
 		instance_handle(sim, i, &ev);
 	g_array_unref(list);
 }
@@ -653,10 +653,7 @@
 
 	if (!sim_packet_decode(&pkt, bytes, len))
 		return;
-	key = (struct flow_key){
-		.caller = { 0x0a000000u + (pkt.slot >> 15), (uint16_t)(1024 + (pkt.slot & 32767)) },
-		.service = pkt.service,
-	};
+	key = sim_packet_key(&pkt);
 	if (sev->b == CORE_EVENT_NOBODY) {
 		ev.packet = (struct packet){
 			.key = key,
