--- a/home.c
+++ b/home.c
@@ -462,12 +462,14 @@
 {
 	struct call *call = g_hash_table_lookup(homes->calls, &call_id);
 	struct shard *shard;
+	gpointer key;
 
 	/* A late, repeated or foreign reply finds no call. */
 	if (!call || (status == CALL_OK && src != call->dst))
 		return;
 	check_pause(homes, ctx);
-	g_hash_table_steal_extended(homes->calls, &call_id, NULL, NULL);
+	g_hash_table_steal_extended(homes->calls, &call_id, &key, NULL);
+	g_free(key);
 	if (status != CALL_OK)
 		msg = NULL;
 	shard = homes_shard(homes, call->addr, call->index);
--- a/query.c
+++ b/query.c
@@ -257,9 +257,11 @@
 static void finish(struct homes *homes, struct ctx *ctx, struct query *query)
 {
 	struct shard *shard = homes_shard(homes, query->addr, query->index);
+	gpointer key;
 
 	/* Out of the table first: routing the packet again may ask again. */
-	g_hash_table_steal_extended(homes->queries, &query->hash, NULL, NULL);
+	g_hash_table_steal_extended(homes->queries, &query->hash, &key, NULL);
+	g_free(key);
 	if (shard) {
 		switch (query->kind) {
 		case QUERY_FIND:
--- a/recover.c
+++ b/recover.c
@@ -157,11 +157,15 @@
 		else
 			waiting = true;
 	}
-	/* Every pin is held twice, so what one member alone does not tell is not lost. */
+	/*
+	 * Every pin is held twice, so what one member alone does not tell is not lost. Without a
+	 * majority, the others may have another home already.
+	 */
 	if (homes->cut && !lead->was_cut)
 		lead->cut_since = ctx->now;
 	lead->was_cut |= homes->cut;
-	lead->guarded = homes->cut || waiting || (missing && lead->lost + missing >= 2);
+	lead->guarded =
+		homes->cut || !homes->majority || waiting || (missing && lead->lost + missing >= 2);
 }
 
 bool lead_uncertain(const struct shard *shard, const struct ctx *ctx)
