pass: open no flow while no member can hold its second copy

Cause: a home that is cut off opened flows that nobody else could recover.

Change: when no backup acknowledges the pin, the opening is dropped and the caller repeats it.

Conclusion: a home alone opens nothing, unless its group has no other member.

--- a/pass.c
+++ b/pass.c
@@ -263,10 +263,14 @@
 	uint32_t backup = shard_backup(homes, ctx, shard, MEMBER_NONE);
 	struct parked *parked;
 
-	if (backup == MEMBER_NONE) {
+	if (backup == MEMBER_NONE && !homes->peers->len) {
 		route_forward(homes, ctx, shard, flow, pkt);
 		return;
 	}
+	if (backup == MEMBER_NONE) {
+		ctx->counters->drop_uncertain++;
+		return;
+	}
 	parked = park_packet(homes, ctx, shard->owner->svc->org, pkt);
 	if (parked)
 		ask_backup(homes, ctx, shard, flow, backup, MEMBER_NONE, parked);
--- a/route.c
+++ b/route.c
@@ -20,8 +20,8 @@
 
 /*
  * Asks the group about a flow whose target answers others, when payload was sent for silence_ms
- * without an answer seen here. A pause of the caller or the loss of a member, which may have seen
- * the answer, begins the wait again.
+ * without an answer seen here. A pause of the caller, or members that are lost or cut off and may
+ * have seen the answer, begin the wait again.
  */
 static void check_silence(struct homes *homes, struct ctx *ctx, struct shard *shard,
 			  struct flow *flow, const struct packet *pkt)
@@ -40,7 +40,7 @@
 	}
 	if (waited < silence || ts_cmp(target_last_answer(homes->tgs, flow->target), since) <= 0)
 		return;
-	if (members_lost_since(homes->mem, since)) {
+	if (homes->cut || members_lost_since(homes->mem, since)) {
 		flow->waiting = flow_ticks(now_ms);
 		return;
 	}
