--- a/t/bench-forward.c
+++ b/t/bench-forward.c
@@ -32,9 +32,9 @@
 struct bench {
 	struct settings set;
 	struct loop *loop;
-	struct endpoint sink_ep; /* where both forwarders send */
+	struct endpoint sink_ep; /* of the first target; the bare forwarder sends there */
 	int source;
-	int sink;
+	int sinks[TARGETS]; /* the others have the same port and the next addresses */
 	int egress;
 	int bare;
 	int health;
@@ -43,6 +43,7 @@
 	struct udp_in bare_in;
 	struct udp_out bare_out;
 	struct udp_out feed;
+	struct udp_out answers;
 	struct udp_in drain;
 	uint8_t packets[UDP_BATCH][GUE_BASE_BYTES + INNER_BYTES];
 	uint32_t flows;
@@ -99,7 +100,7 @@
 	post(b, ev);
 }
 
-/* One service whose targets share the sink's socket; their addresses differ in the last byte. */
+/* One service; the addresses of its targets differ in the last byte. */
 static void configure(struct bench *b)
 {
 	char key[2 * sizeof(b->set.fleet_key) + 1];
@@ -185,7 +186,6 @@
 		.random = system_random(),
 		.incarnation = 1,
 	};
-	struct sockaddr_in any = { .sin_family = AF_INET };
 	struct endpoint ep;
 	const unsigned char seed[crypto_sign_SEEDBYTES] = { 1 };
 
@@ -201,20 +201,18 @@
 	b->egress = open_any(&b->set.egress);
 	b->set.nr_peer_keys = 1;
 	b->set.max_flows = 4000000;
-	/* The sink takes what is sent to any of the targets' addresses. */
-	b->sink = udp_open((struct endpoint){ INADDR_ANY, 0 });
-	{
-		socklen_t len = sizeof(any);
-
-		if (b->sink < 0 || getsockname(b->sink, (struct sockaddr *)&any, &len))
-			die("cannot open the sink");
+	b->sinks[0] = open_any(&b->sink_ep);
+	for (uint32_t i = 1; i < TARGETS; i++) {
+		b->sinks[i] = udp_open((struct endpoint){ LOOPBACK + i, b->sink_ep.port });
+		if (b->sinks[i] < 0)
+			die("cannot open a target's socket");
 	}
-	b->sink_ep = (struct endpoint){ LOOPBACK, ntohs(any.sin_port) };
 	b->source = open_any(&ep);
 	b->bare = open_any(&b->bare_ep);
 	udp_in_init(&b->bare_in, 2304);
 	udp_in_init(&b->drain, 2304);
 	udp_out_init(&b->feed, b->source);
+	udp_out_init(&b->answers, -1);
 	udp_out_init(&b->bare_out, b->bare);
 	if (loop_new(&opts, &b->loop))
 		die("cannot start the loop");
@@ -233,7 +231,8 @@
 	udp_in_release(&b->bare_in);
 	udp_in_release(&b->drain);
 	close(b->source);
-	close(b->sink);
+	for (size_t i = 0; i < TARGETS; i++)
+		close(b->sinks[i]);
 	close(b->egress);
 	close(b->bare);
 }
@@ -284,11 +283,45 @@
 	udp_out_flush(&b->feed, b->packets[0]);
 }
 
-static void take(struct bench *b)
+/* Makes the accepting answer of a target out of an opening in its place. */
+static void make_answer(uint8_t *p)
 {
-	int nr = udp_in_receive(&b->drain, b->sink);
+	static const uint8_t ack[] = { 0, 0, 0x03, 0xe9 };
+	uint8_t caller[4];
+	uint8_t port[2];
+
+	memcpy(caller, p + 12, 4);
+	memmove(p + 12, p + 16, 4);
+	memcpy(p + 16, caller, 4);
+	memcpy(port, p + 20, 2);
+	memmove(p + 20, p + 22, 2);
+	memcpy(p + 22, port, 2);
+	memcpy(p + 28, ack, sizeof(ack));
+	p[33] = 0x12;
+}
 
-	b->lost += UDP_BATCH - (uint64_t)(nr > 0 ? nr : 0);
+/* Takes a batch from the targets, which accept the openings in it when @answer is set. */
+static void take(struct bench *b, bool answer)
+{
+	int taken = 0;
+
+	for (size_t t = 0; t < TARGETS; t++) {
+		int nr = udp_in_receive(&b->drain, b->sinks[t]);
+
+		for (int i = 0; answer && i < nr; i++) {
+			make_answer((uint8_t *)b->drain.iovs[i].iov_base + GUE_BASE_BYTES);
+			udp_out_add(&b->answers, b->set.answers, (size_t)i * b->drain.size,
+				    b->drain.msgs[i].msg_len);
+		}
+		b->answers.fd = b->sinks[t];
+		udp_out_flush(&b->answers, b->drain.buffers);
+		taken += MAX(nr, 0);
+	}
+	b->lost += UDP_BATCH - (uint64_t)taken;
+	if (answer) {
+		loop_serve(b->loop);
+		udp_in_receive(&b->drain, b->egress);
+	}
 }
 
 /* The least that a forwarder does: wait, read a batch, send it on. */
@@ -333,7 +366,7 @@
 		else
 			loop_serve(b->loop);
 		used += cpu_now() - start;
-		take(b);
+		take(b, false);
 	}
 	return (double)used / (BLOCK_ROUNDS * UDP_BATCH);
 }
@@ -365,7 +398,7 @@
 	for (uint32_t first = 0; first < flows; first += UDP_BATCH) {
 		feed(b, b->set.packets, first, true);
 		loop_serve(b->loop);
-		take(b);
+		take(b, true);
 	}
 	b->lost = 0;
 	for (int i = 0; i < BLOCKS; i++) {
