--- a/proto/peer.h
+++ b/proto/peer.h
@@ -22,6 +22,8 @@
 #define PEER_MAX_BUCKETS 64
 #define PEER_MAX_PINS 4096
 #define PEER_MAX_NEWS 512
+#define PEER_MAX_VECTOR 1024
+#define PEER_MAX_VERSIONS 64
 
 struct peer_service {
 	u_int ip;
@@ -82,6 +84,25 @@
 	u_int counter_state;
 };
 typedef struct peer_member peer_member;
+#define PEER_MEMBER_WANTS_FULL 8
+#define PEER_MEMBER_LIST_GONE 4
+#define PEER_MEMBER_LIST_LEAVING 8
+
+struct peer_contact {
+	u_int instance;
+	u_int ip;
+	u_int port;
+	char *data_centre;
+};
+typedef struct peer_contact peer_contact;
+
+enum peer_target_state {
+	PEER_TARGET_UNKNOWN = 0,
+	PEER_TARGET_UP = 1,
+	PEER_TARGET_REFUSING = 2,
+	PEER_TARGET_DOWN = 3,
+};
+typedef enum peer_target_state peer_target_state;
 
 struct peer_target_news {
 	peer_target target;
@@ -101,11 +122,21 @@
 struct peer_heartbeat {
 	u_int instance;
 	u_int incarnation;
+	u_int counter_state;
+	u_int group;
 	u_quad_t config_digest;
+	struct {
+		u_int vector_len;
+		char *vector_val;
+	} vector;
 	struct {
 		u_int members_len;
 		peer_member *members_val;
 	} members;
+	struct {
+		u_int contacts_len;
+		peer_contact *contacts_val;
+	} contacts;
 	struct {
 		u_int suspicions_len;
 		peer_suspicion *suspicions_val;
@@ -227,10 +258,11 @@
 	u_quad_t generation;
 };
 typedef struct peer_object_version peer_object_version;
-#define PEER_MAX_VERSIONS 2048
 
 struct peer_config_digest {
 	u_quad_t digest;
+	u_int offset;
+	u_int total;
 	struct {
 		u_int versions_len;
 		peer_object_version *versions_val;
@@ -312,6 +344,8 @@
 extern  bool_t xdr_peer_bucket (XDR *, peer_bucket*);
 extern  bool_t xdr_peer_member_state (XDR *, peer_member_state*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
+extern  bool_t xdr_peer_contact (XDR *, peer_contact*);
+extern  bool_t xdr_peer_target_state (XDR *, peer_target_state*);
 extern  bool_t xdr_peer_target_news (XDR *, peer_target_news*);
 extern  bool_t xdr_peer_suspicion (XDR *, peer_suspicion*);
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
@@ -343,6 +377,8 @@
 extern bool_t xdr_peer_bucket ();
 extern bool_t xdr_peer_member_state ();
 extern bool_t xdr_peer_member ();
+extern bool_t xdr_peer_contact ();
+extern bool_t xdr_peer_target_state ();
 extern bool_t xdr_peer_target_news ();
 extern bool_t xdr_peer_suspicion ();
 extern bool_t xdr_peer_heartbeat ();
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -16,6 +16,8 @@
 const PEER_MAX_BUCKETS = 64;
 const PEER_MAX_PINS = 4096;
 const PEER_MAX_NEWS = 512;
+const PEER_MAX_VECTOR = 1024;
+const PEER_MAX_VERSIONS = 64;
 
 struct peer_service {
 	unsigned int ip;
@@ -72,13 +74,35 @@
 	unsigned int counter_state; /* counter << 4 | peer_member_state */
 };
 
+/* Flag of the sender's own counter_state: its view lacks members, it asks for full entries. */
+const PEER_MEMBER_WANTS_FULL = 8;
+
+/* Flags of a full entry, from the platform's list, for members that do not watch it. */
+const PEER_MEMBER_LIST_GONE = 4;
+const PEER_MEMBER_LIST_LEAVING = 8;
+
+/* Where an instance of the group receives peer messages, for peers that the list did not tell. */
+struct peer_contact {
+	unsigned int instance;
+	unsigned int ip;
+	unsigned int port;
+	string data_centre<PEER_MAX_NAME>;
+};
+
+enum peer_target_state {
+	PEER_TARGET_UNKNOWN = 0,
+	PEER_TARGET_UP = 1,
+	PEER_TARGET_REFUSING = 2, /* reachable, but says that it takes no new work */
+	PEER_TARGET_DOWN = 3
+};
+
 /* What one instance found out about a target; spread with the heartbeats. */
 struct peer_target_news {
 	peer_target target;
 	unsigned int observer;
 	unsigned int age_ms;
 	unsigned int start_marker;
-	unsigned int load; /* state << 16 | load in 1/1000 of the limit */
+	unsigned int load; /* warm share in percent << 24 | peer_target_state << 16 | load in 1/1000 */
 };
 
 /* An instance that a heartbeat's sender suspects. */
@@ -90,8 +114,17 @@
 struct peer_heartbeat {
 	unsigned int instance;
 	unsigned int incarnation;
+	unsigned int counter_state;
+	unsigned int group; /* hash of the group's name: strangers are ignored */
 	unsigned hyper config_digest;
-	peer_member members<PEER_MAX_MEMBERS>;
+	/*
+	 * Counters of the members, three bytes or more each, in the order of their numbers: the
+	 * difference to the number before (7 bits a byte, low ones first, the top bit says that
+	 * more follow), state << 6 | low 6 bits of the incarnation, low 8 bits of the counter.
+	 */
+	opaque vector<PEER_MAX_VECTOR>;
+	peer_member members<PEER_MAX_MEMBERS>; /* full entries: recent changes */
+	peer_contact contacts<PEER_MAX_MEMBERS>;
 	peer_suspicion suspicions<PEER_MAX_MEMBERS>;
 	peer_target_news news<PEER_MAX_NEWS>;
 };
@@ -182,11 +215,14 @@
 	unsigned hyper generation;
 };
 
-/* More than the objects of the fleet, and about what one datagram holds. */
-const PEER_MAX_VERSIONS = 2048;
-
+/*
+ * As a call: the versions from offset on, latest change first, are wanted; the reply has a part of
+ * them, or none when the digests are equal. One way: versions that the sender has just got.
+ */
 struct peer_config_digest {
 	unsigned hyper digest;
+	unsigned int offset;
+	unsigned int total;
 	peer_object_version versions<PEER_MAX_VERSIONS>;
 };
 
@@ -197,6 +233,7 @@
 	unsigned int offset; /* first byte wanted; large documents travel in parts */
 };
 
+/* Part of a document; total is 0 when the sender does not have the object. */
 struct peer_config_object {
 	peer_object_version id;
 	opaque signature<64>;
