run: connect the platform's feed to the loop

Cause: without it an instance neither registers nor follows the configuration.

Change: the feed is the loop's watcher; its events go to the core, and a planned stop writes the phases leaving and gone into the instance's entry.

--- a/builtin/run.c
+++ b/builtin/run.c
@@ -1,10 +1,12 @@
 #include "builtin.h"
 
 #include <argtable2.h>
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 
+#include "feed.h"
 #include "http.h"
 #include "log.h"
 #include "loop.h"
@@ -21,6 +23,89 @@
 	return (uint32_t)((now.tv_sec - INCARNATION_EPOCH_S) * 4 + now.tv_nsec / INCARNATION_NSEC);
 }
 
+/* The feed as the loop's watcher of the platform. */
+struct feed_watcher {
+	struct watcher base;
+	struct feed *feed;
+};
+
+static struct feed *feed_of(struct watcher *watcher)
+{
+	return ((struct feed_watcher *)watcher)->feed;
+}
+
+static void set_watch(struct watcher *watcher, bool on)
+{
+	feed_watch(feed_of(watcher), on);
+}
+
+static void set_leaving(struct watcher *watcher, bool gone)
+{
+	feed_set_phase(feed_of(watcher), gone ? INSTANCE_GONE : INSTANCE_LEAVING);
+}
+
+static bool is_idle(struct watcher *watcher)
+{
+	return feed_phase_written(feed_of(watcher));
+}
+
+static const struct watcher_ops watcher_ops = {
+	.watch = set_watch,
+	.leaving = set_leaving,
+	.idle = is_idle,
+};
+
+static void post_event(void *arg, const struct event *ev)
+{
+	loop_post(arg, ev);
+}
+
+static struct feed *start_feed(struct loop *loop, struct platform *platform,
+			       const struct loop_options *opts)
+{
+	const struct settings *set = opts->set;
+	struct feed_options feed = {
+		.context = loop_context(loop),
+		.platform = platform,
+		.clock = opts->clock,
+		.random = opts->random,
+		.self = { .id = set->id, .peer = set->peers, .phase = INSTANCE_LIVE },
+		.admin = set->admin,
+		.event = post_event,
+		.arg = loop,
+	};
+
+	g_strlcpy(feed.self.name, set->name->str, sizeof(feed.self.name));
+	g_strlcpy(feed.self.group, set->group->str, sizeof(feed.self.group));
+	g_strlcpy(feed.self.data_centre, set->data_centre->str, sizeof(feed.self.data_centre));
+	return feed_new(&feed);
+}
+
+/* Serves with the platform's client until the stop is complete. */
+static int run_loop(struct loop *loop, const struct loop_options *opts)
+{
+	struct feed_watcher watcher = { .base = { &watcher_ops } };
+	struct platform *platform = platform_http_new(loop_context(loop), opts->set->platform,
+						      opts->random, core_counters(loop_core(loop)));
+	int ret;
+
+	if (!platform)
+		return -ENOMEM;
+	watcher.feed = start_feed(loop, platform, opts);
+	loop_set_watcher(loop, &watcher.base);
+	log_event(LOG_LEVEL_INFO,
+		  "event=start version=" JUJUBESTAGE_VERSION
+		  " id=%u group=%s data_centre=%s incarnation=%u",
+		  opts->set->id, opts->set->group->str, opts->set->data_centre->str,
+		  opts->incarnation);
+	ret = loop_run(loop);
+	log_event(LOG_LEVEL_INFO, "event=stop complete=%d", !ret);
+	loop_set_watcher(loop, NULL);
+	feed_free(watcher.feed);
+	platform->ops->free(platform);
+	return ret;
+}
+
 static int serve(const struct settings *set)
 {
 	struct loop_options opts = {
@@ -44,16 +129,10 @@
 	ret = http_listen(loop);
 	if (!ret)
 		ret = loop_catch_signals(loop);
-	if (!ret) {
-		log_event(LOG_LEVEL_INFO,
-			  "event=start version=" JUJUBESTAGE_VERSION
-			  " id=%u group=%s data_centre=%s incarnation=%u",
-			  set->id, set->group->str, set->data_centre->str, opts.incarnation);
-		ret = loop_run(loop);
-		log_event(LOG_LEVEL_INFO, "event=stop complete=%d", !ret);
-	} else {
+	if (!ret)
+		ret = run_loop(loop, &opts);
+	if (ret && ret != -ETIMEDOUT)
 		log_event(LOG_LEVEL_ERROR, "event=start_failed error=\"%s\"", strerror(-ret));
-	}
 	loop_free(loop);
 cleanup:
 	log_release();
