home: keep shards through a late lease and shrink their tables

Cause: in a healthy group of nine, homes gave up their shards whenever the echo of a heartbeat came later than one lease, which gossip does in about one of a hundred cases. Each time a new term was recovered, all members resynced, and openings went to the base, even a draining one.

Change: a home acts for two leases without an echo, and no other member takes a shard over before three, also when the platform's list says that the home is gone. A sync carries only what changed since the asking member's epoch, and a table lists each target once instead of 20 bytes a bucket. An opening to a draining base is left to the home, which stops using that base 1 s after the change.

Ruled out: a longer routing lease; members would then route by old tables for longer after a pause.

--- a/assign.c
+++ b/assign.c
@@ -141,49 +141,17 @@
 	review(homes, ctx, shard);
 }
 
-static peer_target encode_target(const struct homes *homes, uint32_t target)
-{
-	const struct target_config *tc = config_target_by_index(homes->cfg, target, NULL);
-
-	return (peer_target){
-		.ip = tc ? tc->ep.ip : 0,
-		.port_flags = tc ? (uint32_t)tc->ep.port << 16 : 0,
-	};
-}
-
-u_int assign_encode(struct homes *homes, const struct shard *shard, uint32_t since,
-		    peer_bucket out[BUCKETS_PER_SHARD])
-{
-	u_int nr = 0;
-
-	for (uint32_t b = 0; b < BUCKETS_PER_SHARD; b++) {
-		const struct bucket *bucket = &shard->buckets[b];
-
-		if (shard->lead && since && shard->lead->changed[b] <= since)
-			continue;
-		out[nr++] = (peer_bucket){
-			.index_mode = b << 8 | bucket->mode,
-			.base = encode_target(homes, bucket->base),
-			.current = encode_target(homes, bucket->current),
-		};
-	}
-	return nr;
-}
-
 static void announce(struct homes *homes, struct ctx *ctx, struct shard *shard,
 		     struct shard_peer *peer)
 {
-	peer_bucket buckets[BUCKETS_PER_SHARD];
+	struct encoded_table table;
 	peer_msg msg = { .type = PEER_SHARD_ANNOUNCE };
 
 	msg.peer_msg_u.announce = (peer_shard_announce){
 		.shard = shard_header(shard),
 		.since = peer->acked,
 		.certain = !shard->lead->guarded,
-		.buckets = {
-			.buckets_len = assign_encode(homes, shard, peer->acked, buckets),
-			.buckets_val = buckets,
-		},
+		.buckets = table_encode(homes, shard, peer->acked, &table),
 	};
 	peer->announce_call = call_make(homes, ctx,
 					(struct call){
--- a/decide.c
+++ b/decide.c
@@ -18,8 +18,14 @@
 
 	*why = DECIDE_DROP;
 	if (bucket->mode == BUCKET_SINGLE || (bucket->mode == BUCKET_SHARED && pending)) {
-		/* Members that have not acknowledged the change still use the base. */
-		if (target_fate(homes, bucket->base) == TARGET_FINE)
+		/*
+		 * Members that have not acknowledged the change still use the base. A draining base
+		 * gets new flows only while the change is young: the caller repeats its opening.
+		 */
+		if (target_fate(homes, bucket->base) == TARGET_FINE &&
+		    !(pending && target_draining(homes, bucket->base) &&
+		      ts_to_ms(ctx->now) - shard->lead->shared_ms[b % BUCKETS_PER_SHARD] >=
+			      DRAINING_BASE_MS))
 			return bucket->base;
 		ctx->counters->drop_no_target++;
 		return TARGET_NONE;
--- a/flow.c
+++ b/flow.c
@@ -10,6 +10,13 @@
 	return config_withdrawn(homes->cfg, svc->org, tc->dc) ? TARGET_WITHDRAWN : TARGET_FINE;
 }
 
+bool target_draining(const struct homes *homes, uint32_t target)
+{
+	const struct target_config *tc = config_target_by_index(homes->cfg, target, NULL);
+
+	return tc && tc->draining;
+}
+
 static void uncount(struct homes *homes, struct ctx *ctx, struct flow *flow)
 {
 	if (flow->flags & FLOW_COUNTED)
--- a/follow.c
+++ b/follow.c
@@ -2,41 +2,6 @@
 
 #define REFRESH_MESSAGES 4 /* in one visit of a shard; a later visit goes on */
 
-static uint32_t decode_target(const struct homes *homes, const struct shard *shard,
-			      const peer_target *target)
-{
-	struct endpoint ep = { .ip = target->ip, .port = (uint16_t)(target->port_flags >> 16) };
-	const struct target_config *tc = config_target(homes->cfg, shard->owner->svc, ep);
-
-	return tc ? tc->index : TARGET_NONE;
-}
-
-bool follow_take_buckets(struct homes *homes, struct ctx *ctx, struct shard *shard,
-			 const peer_bucket *buckets, u_int nr)
-{
-	for (u_int i = 0; i < nr; i++) {
-		uint32_t b = buckets[i].index_mode >> 8;
-		uint32_t mode = buckets[i].index_mode & 0xff;
-
-		if (b >= BUCKETS_PER_SHARD || mode > BUCKET_SHARED)
-			return false;
-	}
-	for (u_int i = 0; i < nr; i++) {
-		uint32_t b = buckets[i].index_mode >> 8;
-		uint32_t base = decode_target(homes, shard, &buckets[i].base);
-
-		if (shard->known && shard->buckets[b].base != base)
-			shard->base_ms[b] = flowtab_ms(homes->tab, ctx->now);
-		shard->buckets[b] = (struct bucket){
-			.base = base,
-			.current = decode_target(homes, shard, &buckets[i].current),
-			.mode = (uint8_t)buckets[i].index_mode,
-		};
-	}
-	shard->known = true;
-	return true;
-}
-
 static peer_shard fence_header(const struct shard *shard)
 {
 	peer_shard header = shard_header(shard);
@@ -50,16 +15,16 @@
 static void gather_recent(struct homes *homes, struct ctx *ctx, struct shard *shard,
 			  const peer_shard_announce *ann, GArray *pins)
 {
-	for (u_int i = 0; i < ann->buckets.buckets_len; i++) {
-		const peer_bucket *bucket = &ann->buckets.buckets_val[i];
+	for (u_int i = 0; i < ann->buckets.buckets.buckets_len; i++) {
+		u_int word = ann->buckets.buckets.buckets_val[i];
 		struct flow *flow;
 		size_t pos = 0;
 
-		if ((bucket->index_mode & 0xff) != PEER_BUCKET_SHARED)
+		if (!table_shared(word))
 			continue;
 		while (pins->len < RECENT_MAX &&
-		       (flow = flowtab_next(homes->tab,
-					    bucket_number(shard, bucket->index_mode >> 8), &pos))) {
+		       (flow = flowtab_next(homes->tab, bucket_number(shard, table_index(word)),
+					    &pos))) {
 			peer_pin pin;
 
 			if (!flow_recent(homes, ctx, flow) || !flow_of_shard(homes, shard, flow))
@@ -93,13 +58,12 @@
 		return true; /* repeated: acknowledged again, with the recent flows */
 	if (same ? ann->since > shard->epoch : ann->since)
 		return false;
-	if (!follow_take_buckets(homes, ctx, shard, ann->buckets.buckets_val,
-				 ann->buckets.buckets_len))
+	if (!table_take(homes, ctx, shard, &ann->buckets))
 		return false;
 	for (uint32_t b = 0; !same && b < BUCKETS_PER_SHARD; b++)
 		shard->confirm_ms[b] = now_ms;
-	for (u_int i = 0; same && i < ann->buckets.buckets_len; i++)
-		shard->confirm_ms[ann->buckets.buckets_val[i].index_mode >> 8] = now_ms;
+	for (u_int i = 0; same && i < ann->buckets.buckets.buckets_len; i++)
+		shard->confirm_ms[table_index(ann->buckets.buckets.buckets_val[i])] = now_ms;
 	shard->term = ann->shard.term;
 	shard->home = ann->shard.home;
 	shard->epoch = ann->shard.epoch;
@@ -143,62 +107,69 @@
 	g_array_unref(pins);
 }
 
+/* @tables: with the buckets changed after epoch @since, 0 for all. */
 static void send_state(struct homes *homes, struct ctx *ctx, const struct shard *shard,
-		       uint32_t dst, uint32_t xid, peer_shard header, bool complete, bool buckets,
-		       uint32_t next, GArray *pins)
+		       uint32_t dst, uint32_t xid, const peer_shard_state *proto, bool tables,
+		       uint32_t since)
 {
-	peer_bucket encoded[BUCKETS_PER_SHARD];
+	struct encoded_table table;
 	peer_msg msg = { .type = PEER_SHARD_STATE };
-	peer_shard_state *state = &msg.peer_msg_u.state;
-
-	state->shard = header;
-	state->next = next;
-	state->complete = complete;
-	if (buckets) {
-		state->buckets.buckets_len = assign_encode(homes, shard, 0, encoded);
-		state->buckets.buckets_val = encoded;
-	}
-	if (pins) {
-		state->pins.pins_len = pins->len;
-		state->pins.pins_val = (peer_pin *)pins->data;
-	}
+
+	msg.peer_msg_u.state = *proto;
+	if (tables)
+		msg.peer_msg_u.state.buckets = table_encode(homes, shard, since, &table);
 	peer_reply(ctx, dst, xid, &msg);
 }
 
+static void refuse_state(struct homes *homes, struct ctx *ctx, const struct shard *shard,
+			 uint32_t dst, uint32_t xid)
+{
+	send_state(homes, ctx, shard, dst, xid, &(peer_shard_state){ .shard = fence_header(shard) },
+		   false, 0);
+}
+
 /* The home's answer to a member that asks for the buckets alone. */
 static void answer_sync(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
-			uint32_t xid)
+			uint32_t xid, const peer_shard_pull *pull)
 {
 	struct shard_peer *peer = lead_peer(shard, src);
+	bool same = pull->known_term == shard->term && pull->shard.home == shard->home;
 
 	if (!shard_acting(homes, ctx, shard) || shard->lead->guarded || !peer) {
-		send_state(homes, ctx, shard, src, xid, fence_header(shard), false, false, 0, NULL);
+		refuse_state(homes, ctx, shard, src, xid);
 		return;
 	}
 	/* It asked just now, so a change waits for it again. */
 	peer->silent = false;
-	send_state(homes, ctx, shard, src, xid, shard_header(shard), true, true, 0, NULL);
+	send_state(homes, ctx, shard, src, xid,
+		   &(peer_shard_state){ .shard = shard_header(shard), .complete = true }, true,
+		   same ? pull->shard.epoch : 0);
 }
 
 void follow_pull(struct homes *homes, struct ctx *ctx, struct shard *shard, uint32_t src,
 		 uint32_t xid, const peer_shard_pull *pull)
 {
 	uint32_t cursor = pull->cursor;
+	peer_shard_state state;
 	GArray *pins;
 
 	if (!pull->shard.term) {
-		answer_sync(homes, ctx, shard, src, xid);
+		answer_sync(homes, ctx, shard, src, xid, pull);
 		return;
 	}
 	if (src != pull->shard.home || shard_observe(homes, ctx, shard, &pull->shard) < 0) {
 		ctx->counters->peer_stale_term++;
-		send_state(homes, ctx, shard, src, xid, fence_header(shard), false, false, 0, NULL);
+		refuse_state(homes, ctx, shard, src, xid);
 		return;
 	}
 	pins = g_array_new(FALSE, FALSE, sizeof(peer_pin));
 	pins_gather(homes, ctx, shard, &cursor, PINS_PER_MESSAGE, false, pins);
-	send_state(homes, ctx, shard, src, xid, shard_header(shard), false,
-		   shard->known && !pull->cursor, cursor, pins);
+	state = (peer_shard_state){
+		.shard = shard_header(shard),
+		.next = cursor,
+		.pins = { pins->len, (peer_pin *)pins->data },
+	};
+	send_state(homes, ctx, shard, src, xid, &state, shard->known && !pull->cursor, 0);
 	if (!cursor)
 		shard->untold = false;
 	g_array_unref(pins);
@@ -216,8 +187,7 @@
 		return;
 	newer = shard->term != state->shard.term || shard->home != state->shard.home ||
 		shard->epoch < state->shard.epoch;
-	if (newer && !follow_take_buckets(homes, ctx, shard, state->buckets.buckets_val,
-					  state->buckets.buckets_len))
+	if (newer && !table_take(homes, ctx, shard, &state->buckets))
 		return;
 	if (newer) {
 		for (uint32_t b = 0; b < BUCKETS_PER_SHARD; b++)
@@ -243,6 +213,7 @@
 	(*budget)--;
 	shard->next_sync = ts_add_ms(ctx->now, SYNC_INTERVAL_MS);
 	msg.peer_msg_u.pull.shard = shard_header(shard);
+	msg.peer_msg_u.pull.known_term = shard->term;
 	msg.peer_msg_u.pull.shard.term = 0;
 	call_make(homes, ctx,
 		  (struct call){
--- a/home.c
+++ b/home.c
@@ -110,7 +110,7 @@
 
 bool shard_acting(const struct homes *homes, const struct ctx *ctx, const struct shard *shard)
 {
-	return shard->role == SHARD_HOME && members_lease_fresh(homes->mem, ctx->now);
+	return shard->role == SHARD_HOME && members_home_lease_fresh(homes->mem, ctx->now);
 }
 
 bool shard_single(const struct homes *homes, const struct ctx *ctx, const struct shard *shard,
@@ -310,7 +310,7 @@
 		may_route += members_may_route(homes->mem, g_array_index(homes->peers, uint32_t, i),
 					       ctx->now);
 	homes->majority = may_route * 2 > homes->peers->len + homes->ghosts->len + 1;
-	if (!fresh)
+	if (!members_home_lease_fresh(homes->mem, ctx->now))
 		shard_each(homes, shard_give_up, ctx);
 	else if (cut)
 		shard_each(homes, invalidate, ctx);
--- a/member.c
+++ b/member.c
@@ -172,7 +172,8 @@
 		return MEMBER_DEAD;
 	if (!m->heard)
 		return m->list_gone || age > 3 * (int64_t)lease ? MEMBER_DEAD : MEMBER_JOINING;
-	if (age > lease && m->list_gone)
+	/* Its home lease must have run out, whatever the list says: the list may be wrong. */
+	if (age > 3 * (int64_t)lease && m->list_gone)
 		return MEMBER_DEAD;
 	if (age > lease && confirmed(mem, m, now, lease))
 		return age > 3 * (int64_t)lease ? MEMBER_DEAD : MEMBER_SUSPECT;
--- a/member.h
+++ b/member.h
@@ -83,6 +83,12 @@
  * when alone). Messages that were queued during a pause therefore do not renew the lease.
  */
 bool members_lease_fresh(const struct members *mem, struct timespec now);
+/*
+ * The same for the duties of a home, with twice the lease: no other member takes a shard over
+ * before three leases have passed. Gossip renews a lease late in about one of a hundred cases, and
+ * a home that gave its shards up each time would make the whole group resync.
+ */
+bool members_home_lease_fresh(const struct members *mem, struct timespec now);
 /*
  * Whether a member may still route by what it knew before: its lease has not run out. Half a lease
  * is added because others may know a newer counter of the member than this instance does.
--- a/memberview.c
+++ b/memberview.c
@@ -55,12 +55,22 @@
 	return true;
 }
 
-bool members_lease_fresh(const struct members *mem, struct timespec now)
+static bool echoed_within(const struct members *mem, struct timespec now, uint32_t leases)
 {
 	if (mem->started && ts_diff_ms(now, mem->last_run) > ROUTING_LEASE_MS)
 		return false;
 	return alone(mem) || (mem->echoed.tv_sec | mem->echoed.tv_nsec &&
-			      ts_diff_ms(now, mem->echoed) <= members_lease_ms(mem));
+			      ts_diff_ms(now, mem->echoed) <= leases * members_lease_ms(mem));
+}
+
+bool members_lease_fresh(const struct members *mem, struct timespec now)
+{
+	return echoed_within(mem, now, 1);
+}
+
+bool members_home_lease_fresh(const struct members *mem, struct timespec now)
+{
+	return echoed_within(mem, now, 2);
 }
 
 bool members_may_route(const struct members *mem, uint32_t id, struct timespec now)
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -20,6 +20,7 @@
 #define PEER_MAX_DOCUMENT 1048576
 #define PEER_MAX_MEMBERS 256
 #define PEER_MAX_BUCKETS 64
+#define PEER_MAX_TARGETS 128
 #define PEER_MAX_PINS 4096
 #define PEER_MAX_NEWS 512
 #define PEER_MAX_VECTOR 1024
@@ -70,12 +71,17 @@
 };
 typedef enum peer_bucket_mode peer_bucket_mode;
 
-struct peer_bucket {
-	u_int index_mode;
-	peer_target base;
-	peer_target current;
+struct peer_buckets {
+	struct {
+		u_int targets_len;
+		peer_target *targets_val;
+	} targets;
+	struct {
+		u_int buckets_len;
+		u_int *buckets_val;
+	} buckets;
 };
-typedef struct peer_bucket peer_bucket;
+typedef struct peer_buckets peer_buckets;
 
 enum peer_member_state {
 	PEER_MEMBER_JOINING = 0,
@@ -159,10 +165,7 @@
 	peer_shard shard;
 	u_int since;
 	bool_t certain;
-	struct {
-		u_int buckets_len;
-		peer_bucket *buckets_val;
-	} buckets;
+	peer_buckets buckets;
 };
 typedef struct peer_shard_announce peer_shard_announce;
 
@@ -177,6 +180,7 @@
 
 struct peer_shard_pull {
 	peer_shard shard;
+	u_int known_term;
 	u_int cursor;
 };
 typedef struct peer_shard_pull peer_shard_pull;
@@ -185,10 +189,7 @@
 	peer_shard shard;
 	u_int next;
 	bool_t complete;
-	struct {
-		u_int buckets_len;
-		peer_bucket *buckets_val;
-	} buckets;
+	peer_buckets buckets;
 	struct {
 		u_int pins_len;
 		peer_pin *pins_val;
@@ -354,7 +355,7 @@
 extern  bool_t xdr_peer_shard (XDR *, peer_shard*);
 extern  bool_t xdr_peer_pin (XDR *, peer_pin*);
 extern  bool_t xdr_peer_bucket_mode (XDR *, peer_bucket_mode*);
-extern  bool_t xdr_peer_bucket (XDR *, peer_bucket*);
+extern  bool_t xdr_peer_buckets (XDR *, peer_buckets*);
 extern  bool_t xdr_peer_member_state (XDR *, peer_member_state*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_contact (XDR *, peer_contact*);
@@ -387,7 +388,7 @@
 extern bool_t xdr_peer_shard ();
 extern bool_t xdr_peer_pin ();
 extern bool_t xdr_peer_bucket_mode ();
-extern bool_t xdr_peer_bucket ();
+extern bool_t xdr_peer_buckets ();
 extern bool_t xdr_peer_member_state ();
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_contact ();
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -14,6 +14,7 @@
 const PEER_MAX_DOCUMENT = 1048576;
 const PEER_MAX_MEMBERS = 256;
 const PEER_MAX_BUCKETS = 64;
+const PEER_MAX_TARGETS = 128; /* a base and a current target for each bucket */
 const PEER_MAX_PINS = 4096;
 const PEER_MAX_NEWS = 512;
 const PEER_MAX_VECTOR = 1024;
@@ -62,10 +63,14 @@
 	PEER_BUCKET_SHARED = 2
 };
 
-struct peer_bucket {
-	unsigned int index_mode; /* index in the shard << 8 | peer_bucket_mode */
-	peer_target base;
-	peer_target current;
+/*
+ * Buckets of a shard. Most have one of a few targets, so these are listed once; 0xff names no
+ * target. With 20 bytes a bucket, these tables were two thirds of all control bytes.
+ */
+struct peer_buckets {
+	peer_target targets<PEER_MAX_TARGETS>;
+	/* index << 18 | peer_bucket_mode << 16 | base << 8 | current */
+	unsigned int buckets<PEER_MAX_BUCKETS>;
 };
 
 enum peer_member_state {
@@ -141,7 +146,7 @@
 	peer_shard shard;
 	unsigned int since; /* epoch of this term that the buckets build on, 0 for all of them */
 	bool certain;       /* the home may eliminate, so members may use mode SINGLE */
-	peer_bucket buckets<PEER_MAX_BUCKETS>;
+	peer_buckets buckets;
 };
 
 struct peer_shard_ack {
@@ -156,6 +161,7 @@
  */
 struct peer_shard_pull {
 	peer_shard shard;
+	unsigned int known_term; /* of the buckets that the asking member has, with home and epoch */
 	unsigned int cursor; /* 0 for the first part, else peer_shard_state.next */
 };
 
@@ -164,7 +170,7 @@
 	peer_shard shard;
 	unsigned int next; /* cursor of the next part, 0 after the last one */
 	bool complete;     /* sent by the acting home with a complete table */
-	peer_bucket buckets<PEER_MAX_BUCKETS>;
+	peer_buckets buckets;
 	peer_pin pins<PEER_MAX_PINS>;
 };
 
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -115,15 +115,15 @@
 }
 
 bool_t
-xdr_peer_bucket (XDR *xdrs, peer_bucket *objp)
+xdr_peer_buckets (XDR *xdrs, peer_buckets *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->index_mode))
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, PEER_MAX_TARGETS,
+		sizeof (peer_target), (xdrproc_t) xdr_peer_target))
 		 return FALSE;
-	 if (!xdr_peer_target (xdrs, &objp->base))
-		 return FALSE;
-	 if (!xdr_peer_target (xdrs, &objp->current))
+	 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	return TRUE;
 }
@@ -406,8 +406,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->certain))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
-		sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
+	 if (!xdr_peer_buckets (xdrs, &objp->buckets))
 		 return FALSE;
 	return TRUE;
 }
@@ -432,6 +431,8 @@
 
 	 if (!xdr_peer_shard (xdrs, &objp->shard))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->known_term))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cursor))
 		 return FALSE;
 	return TRUE;
@@ -448,8 +449,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->buckets.buckets_val, (u_int *) &objp->buckets.buckets_len, PEER_MAX_BUCKETS,
-		sizeof (peer_bucket), (xdrproc_t) xdr_peer_bucket))
+	 if (!xdr_peer_buckets (xdrs, &objp->buckets))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->pins.pins_val, (u_int *) &objp->pins.pins_len, PEER_MAX_PINS,
 		sizeof (peer_pin), (xdrproc_t) xdr_peer_pin))
--- a/recover.c
+++ b/recover.c
@@ -353,13 +353,12 @@
 	state = &msg->peer_msg_u.state;
 	if (shard_observe(homes, ctx, shard, &state->shard) > 0)
 		return;
-	if (shard->role == SHARD_RECOVERING && state->buckets.buckets_len) {
+	if (shard->role == SHARD_RECOVERING && state->buckets.buckets.buckets_len) {
 		int cmp = term_cmp(state->shard.term, state->shard.home, lead->best_term,
 				   lead->best_home);
 
 		if (cmp > 0 || (cmp == 0 && state->shard.epoch > lead->best_epoch)) {
-			follow_take_buckets(homes, ctx, shard, state->buckets.buckets_val,
-					    state->buckets.buckets_len);
+			table_take(homes, ctx, shard, &state->buckets);
 			lead->best_term = state->shard.term;
 			lead->best_home = state->shard.home;
 			lead->best_epoch = state->shard.epoch;
--- a/route.c
+++ b/route.c
@@ -205,6 +205,18 @@
 	return flow_trusted(flow) && entry_fresh(homes, ctx, shard, flow);
 }
 
+/*
+ * Whether an opening must be left to the home although its bucket is single: the base drains, and
+ * the home, which is to move the bucket, may be dead.
+ */
+static bool leaves_base(struct homes *homes, const struct shard *shard, const struct flow *flow,
+			const struct bucket *bucket, const struct packet *pkt)
+{
+	return pkt->kind == PACKET_OPENING && shard->role == SHARD_FOLLOWER &&
+	       target_draining(homes, bucket->base) &&
+	       !(flow && flow->opening_id == pkt->opening_id);
+}
+
 void route_packet(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
 		  const struct packet *pkt)
 {
@@ -217,7 +229,7 @@
 		flow_remove(homes, ctx, flow);
 		flow = NULL;
 	}
-	if (single) {
+	if (single && !leaves_base(homes, shard, flow, bucket, pkt)) {
 		route_single(homes, ctx, shard, hash, bucket->base, pkt);
 		return;
 	}
--- a/shard.h
+++ b/shard.h
@@ -1,6 +1,6 @@
 /*
  * State that the modules behind home.h share: shards, calls to peers, parked packets. Internal to
- * home.c, assign.c, recover.c, follow.c, decide.c, pass.c, note.c, query.c, park.c and route.c.
+ * home.c, assign.c, recover.c, follow.c, decide.c, pass.c, query.c, park.c, tables.c and route.c.
  */
 #ifndef SHARD_H
 #define SHARD_H
@@ -49,6 +49,7 @@
 /* A bucket that was shared for a retry must not settle before the retry was made. */
 #define SHARED_MIN_MS	  2000
 #define REFRESH_MS	  10000
+#define DRAINING_BASE_MS  1000 /* new flows still go to a draining base while a change is pending */
 #define RECOVER_HOLD_MS	  1000 /* before a fenced instance claims a shard again */
 #define OVERLOAD_PERMILLE 950
 #define RELIEVED_PERMILLE 800
@@ -234,6 +235,8 @@
 /* flow.c: entries of the flow cache and their form in messages. */
 enum target_fate { TARGET_FINE, TARGET_GONE, TARGET_WITHDRAWN };
 enum target_fate target_fate(const struct homes *homes, uint32_t target);
+/* Whether the configuration says that the target gets no new flows. */
+bool target_draining(const struct homes *homes, uint32_t target);
 static inline bool flow_trusted(const struct flow *flow)
 {
 	return (flow->flags & (FLOW_ESTABLISHED | FLOW_PAYLOAD)) != 0;
@@ -284,9 +287,6 @@
 void assign_settle(struct homes *homes, struct ctx *ctx, struct shard *shard);
 void assign_announced(struct homes *homes, struct ctx *ctx, struct shard *shard,
 		      const struct call *call, const peer_msg *msg);
-/* Buckets changed after epoch @since, 0 for all. Returns their number. */
-u_int assign_encode(struct homes *homes, const struct shard *shard, uint32_t since,
-		    peer_bucket out[BUCKETS_PER_SHARD]);
 struct shard_peer *lead_peer(struct shard *shard, uint32_t id);
 
 /* recover.c: election, recovery, fencing. */
@@ -318,8 +318,22 @@
 		 uint32_t xid, const peer_pin_batch *batch);
 /* Answers a message on a service that this instance does not know (yet): it keeps nothing of it. */
 void follow_unknown(struct ctx *ctx, uint32_t src, uint32_t xid, const peer_msg *msg);
-bool follow_take_buckets(struct homes *homes, struct ctx *ctx, struct shard *shard,
-			 const peer_bucket *buckets, u_int nr);
+
+/* tables.c: buckets in messages. */
+struct encoded_table {
+	uint32_t ids[PEER_MAX_TARGETS];
+	peer_target targets[PEER_MAX_TARGETS];
+	u_int buckets[BUCKETS_PER_SHARD];
+	u_int nr_targets, nr_buckets;
+};
+/* Buckets changed after epoch @since, 0 for all; what is returned points into @table. */
+peer_buckets table_encode(const struct homes *homes, const struct shard *shard, uint32_t since,
+			  struct encoded_table *table);
+/* Takes over the buckets of a message. Returns false when it is malformed. */
+bool table_take(struct homes *homes, struct ctx *ctx, struct shard *shard, const peer_buckets *msg);
+/* Index in the shard, and mode, of one bucket of a message. */
+uint32_t table_index(u_int word);
+bool table_shared(u_int word);
 
 /* decide.c: the home's decisions. */
 enum decision {
--- a/t/test-home.c
+++ b/t/test-home.c
@@ -294,7 +294,7 @@
 	uint32_t flow = 40;
 	uint32_t home = home_of(fix, flow);
 	uint32_t member;
-	peer_bucket bucket = { .index_mode = PEER_BUCKET_UNASSIGNED };
+	u_int bucket = 0; /* the first one, unassigned */
 	peer_msg msg = { .type = PEER_SHARD_ANNOUNCE };
 	struct shard *shard;
 	struct bucket before;
@@ -304,7 +304,7 @@
 	(void)nodes;
 	msg.peer_msg_u.announce = (peer_shard_announce){
 		.shard = shard_header(flow_shard(fix, home, flow)),
-		.buckets = { 1, &bucket },
+		.buckets = { .buckets = { 1, &bucket } },
 	};
 	fleet_kill(&fix->fleet, home);
 	fleet_run(&fix->fleet, 10000);
