--- a/decide.c
+++ b/decide.c
@@ -100,6 +100,8 @@
 	}
 	if (flow && flow->opening_id == opening_id) {
 		*out = flow;
+		/* The first try may have failed for want of a second holder. */
+		*fresh = (flow->flags & FLOW_HELD) && !flow_trusted(flow);
 		return decide_known(homes, ctx, shard, flow);
 	}
 	if (flow) {
