--- a/t/test-home.c
+++ b/t/test-home.c
@@ -171,6 +171,76 @@
 	g_assert_cmpuint(last_target(fix), ==, 1);
 }
 
+/* Guards against a second target for an opening that is repeated after the change. */
+static void test_recent(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = flow_at(fix, 1, 1);
+
+	(void)nodes;
+	syn(fix, 2, flow, 5);
+	fleet_eligible(&fix->fleet, 1, false);
+	fleet_run(&fix->fleet, 500);
+	g_assert_cmpuint(flow_bucket(fix, 3, flow)->mode, ==, BUCKET_SHARED);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++) {
+		syn(fix, id, flow, 5);
+		fleet_run(&fix->fleet, 100);
+		g_assert_cmpuint(last_target(fix), ==, 1);
+	}
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, 1), ==, fix->fleet.nr + 1);
+}
+
+/* Guards against a pinned flow that only one instance knows. */
+static void test_second_holder(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = flow_at(fix, 1, 1);
+
+	(void)nodes;
+	fleet_eligible(&fix->fleet, 1, false);
+	fleet_run(&fix->fleet, 1000);
+	fix->fleet.loss_permille = 1000;
+	syn(fix, 1, flow, 5);
+	fleet_run(&fix->fleet, 300);
+	syn(fix, 1, flow, 5);
+	fleet_run(&fix->fleet, 300);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 0);
+	fix->fleet.loss_permille = 0;
+	syn(fix, 1, flow, 5);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 1);
+}
+
+/* Guards against an instance that wakes from a pause and routes by what it knew before. */
+static void test_pause(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = flow_at(fix, 1, 1);
+	uint32_t target;
+
+	(void)nodes;
+	fix->fleet.nodes[2].paused = true;
+	fleet_run(&fix->fleet, 100);
+	fleet_eligible(&fix->fleet, 1, false);
+	fleet_run(&fix->fleet, 4500);
+	syn(fix, 3, flow, 5);
+	fleet_run(&fix->fleet, 100);
+	target = last_target(fix);
+	g_assert_cmpuint(target, !=, 1);
+	answer(fix, 4, flow, 5, target, ANSWER_ACCEPTED);
+	fleet_run(&fix->fleet, 100);
+	fix->fleet.nodes[2].paused = false;
+	/* The member heard its group a moment ago, but has run no timer yet. */
+	fix->fleet.nodes[2].mem.heard_any = fix->fleet.now_ms;
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		if (id != 2)
+			fix->fleet.nodes[2].mem.heard[id] = fix->fleet.now_ms;
+	data(fix, 2, flow);
+	for (int i = 0; i < 20; i++) {
+		fleet_run(&fix->fleet, 50);
+		data(fix, 2, flow);
+	}
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, 1), ==, 0);
+	g_assert_cmpuint(count(fix, ACTION_FORWARD, target), >, 10);
+}
+
 /* Guards against refusals that are untrue, retries after payload, and retries beyond the budget. */
 static void test_shed(struct fixture *fix, gconstpointer nodes)
 {
@@ -433,6 +503,9 @@
 	g_assert_cmpint(sodium_init(), >=, 0);
 	ADD("single", 3, test_single);
 	ADD("two-phases", 5, test_two_phases);
+	ADD("recent", 4, test_recent);
+	ADD("second-holder", 4, test_second_holder);
+	ADD("pause", 5, test_pause);
 	ADD("shed", 4, test_shed);
 	ADD("refusal", 4, test_refusal);
 	ADD("withdrawal", 4, test_withdrawal);
