--- a/decide.c
+++ b/decide.c
@@ -106,6 +106,8 @@
 	}
 	if (flow && flow->opening_id == opening_id) {
 		*out = flow;
+		/* The first try may have failed for want of a second holder. */
+		*fresh = (flow->flags & FLOW_HELD) && !flow_trusted(flow);
 		return decide_known(homes, ctx, shard, flow);
 	}
 	if (flow) {
@@ -214,9 +216,13 @@
 		return DECIDE_DROP;
 	}
 	if (kind == ANSWER_ACCEPTED) {
-		if (!flow)
+		if (!flow) {
 			flow = flow_set(homes, ctx, shard, hash, target, opening_id,
 					new_flags(shard, bucket, target));
+			/* Nobody else holds the pin if the answer came to the home itself. */
+			shard->lead->copying = true;
+			shard->lead->copy_cursor = 0;
+		}
 		if (!flow) {
 			ctx->counters->drop_quota++;
 			return DECIDE_DROP;
