--- a/config.c
+++ b/config.c
@@ -318,7 +318,7 @@
 	ret = parse_data_centre(obj, &withdrawn);
 	if (ret)
 		return ret;
-	/* Interning may move the array, so the index comes first. */
+	/* Interning may move the array, so it comes before the access. */
 	index = config_dc_index(cfg, obj->name);
 	dc = g_ptr_array_index(cfg->dcs, index);
 	dc->generation = obj->generation;
--- a/feed.c
+++ b/feed.c
@@ -7,8 +7,9 @@
 #include "address.h"
 #include "document.h"
 
-#define REQUEST_ID_BYTES 8
-#define DIRECT_RETRIES	 3 /* writes after a conflict before the next one waits */
+#define REQUEST_ID_BYTES  8
+#define DOWNS_UNREACHABLE 2 /* one alone may be a silent connection */
+#define DIRECT_RETRIES	  3 /* writes after a conflict before the next one waits */
 
 static const peer_object_kind kinds[] = { PEER_OBJECT_GRANTS, PEER_OBJECT_ORGANISATION,
 					  PEER_OBJECT_DATA_CENTRE };
@@ -21,6 +22,7 @@
 	struct platform_watch *watch;
 	lws_sorted_usec_list_t retry;
 	uint32_t retry_ms;
+	unsigned int downs; /* of the watch in a row */
 };
 
 struct entry {
@@ -95,11 +97,11 @@
 	lws_sul_schedule(feed->opts.context, 0, timer, NULL, LWS_SET_TIMER_USEC_CANCEL);
 }
 
-static uint32_t backoff(uint32_t *ms)
+static uint32_t backoff(uint32_t *ms, uint32_t max)
 {
 	uint32_t now = *ms;
 
-	*ms = MIN(*ms * 2, (uint32_t)FEED_RETRY_MAX_MS);
+	*ms = MIN(*ms * 2, max);
 	return now;
 }
 
@@ -170,7 +172,8 @@
 	    ++feed->conflicts <= DIRECT_RETRIES)
 		write_entry(feed);
 	else
-		schedule(feed, &feed->reg_timer, on_reg_timer, backoff(&feed->reg_retry_ms));
+		schedule(feed, &feed->reg_timer, on_reg_timer,
+			 backoff(&feed->reg_retry_ms, FEED_RETRY_MAX_MS));
 }
 
 static void on_entry_written(void *arg, const struct platform_result *res)
@@ -183,7 +186,8 @@
 	if (res->status == CALL_OK)
 		entry_written(feed, res->version);
 	else if (res->status == CALL_FAILED)
-		schedule(feed, &feed->reg_timer, on_reg_timer, backoff(&feed->reg_retry_ms));
+		schedule(feed, &feed->reg_timer, on_reg_timer,
+			 backoff(&feed->reg_retry_ms, FEED_RETRY_MAX_MS));
 	else
 		feed->reg_call = pf->ops->get(pf, PLATFORM_KIND_INSTS, feed->opts.self.name,
 					      PLATFORM_CALL_MS, on_entry_read, feed);
@@ -357,7 +361,7 @@
 	fw->watch = NULL;
 }
 
-/* Documents of organisations can only be judged after the grants that name them. */
+/* Organisations can only be judged after the grants that name them. */
 static void follow_others(struct feed *feed)
 {
 	for (size_t i = 1; i < G_N_ELEMENTS(kinds) && feed->watching; i++) {
@@ -374,18 +378,25 @@
 	switch (what) {
 	case WATCH_CHANGED:
 		take_object(fw, obj);
-		if (fw->kind == PEER_OBJECT_GRANTS)
-			follow_others(feed);
+		/* Documents refused for want of a grant are read again. */
+		if (fw->kind == PEER_OBJECT_GRANTS && feed->watching) {
+			stop(&feed->followers[1]);
+			follow(&feed->followers[1]);
+		}
 		break;
 	case WATCH_LIST_AGAIN:
 		stop(fw);
 		follow(fw);
 		break;
 	case WATCH_UP:
+		fw->downs = 0;
 		note(feed, true);
 		break;
+	case WATCH_DOWN: /* opened again by the client */
+		if (++fw->downs >= DOWNS_UNREACHABLE)
+			note(feed, false);
+		break;
 	case WATCH_DELETED: /* nothing in force ends because its object is deleted */
-	case WATCH_DOWN:    /* opened again by the client */
 		break;
 	}
 }
@@ -402,7 +413,8 @@
 	if (!feed->watching)
 		return;
 	if (!items || !json_object_is_type(items, json_type_array)) {
-		schedule(feed, &fw->retry, on_follow_timer, backoff(&fw->retry_ms));
+		schedule(feed, &fw->retry, on_follow_timer,
+			 backoff(&fw->retry_ms, WATCH_RETRY_MAX_MS));
 		return;
 	}
 	fw->retry_ms = FEED_RETRY_MIN_MS;
