route: remember answers of flows that were not cached

Cause: silence detection ended working flows. An instance that passed an answer of a flow without a cache entry did not remember it, so nobody in the group could vouch for the flow. After a partition the time of the cut counted too.

Change: an answer inside a single bucket makes an entry; a partition within the wait begins it again. The list test waits three leases, as homes now do, and checks that a listed-gone home is not replaced while its lease runs.

Ruled out: switching silence detection off; with silence_ms=0 the flows did not break, which confirmed the cause.

--- a/home.c
+++ b/home.c
@@ -328,6 +328,8 @@
 	else if (!homes->majority)
 		shard_each(homes, invalidate_unheard, ctx);
 	homes->cut = cut;
+	if (cut)
+		homes->cut_last = ctx->now;
 	homes->fresh = fresh;
 }
 
--- a/route.c
+++ b/route.c
@@ -40,7 +40,7 @@
 	}
 	if (waited < silence || ts_cmp(target_last_answer(homes->tgs, flow->target), since) <= 0)
 		return;
-	if (homes->cut || members_lost_since(homes->mem, since)) {
+	if (ts_cmp(homes->cut_last, since) >= 0 || members_lost_since(homes->mem, since)) {
 		flow->waiting = flow_ticks(now_ms);
 		return;
 	}
@@ -275,6 +275,10 @@
 		return;
 	}
 	flow = flowtab_find(homes->tab, hash);
+	if (!flow && ans->kind == ANSWER_DATA) {
+		/* Silence detection asks every instance whether it saw an answer of the flow. */
+		flow = flow_set(homes, ctx, shard, hash, target, 0, FLOW_BASE | FLOW_ESTABLISHED);
+	}
 	route_to_caller(homes, ctx, flow && flow->target == target ? flow : NULL, ans);
 }
 
--- a/shard.h
+++ b/shard.h
@@ -47,9 +47,11 @@
 #define SYNC_INTERVAL_MS 500
 #define REVIEW_MS	 1000
 /* A bucket that was shared for a retry must not settle before the retry was made. */
-#define SHARED_MIN_MS	  2000
-#define REFRESH_MS	  10000
-#define DRAINING_BASE_MS  1000 /* new flows still go to a draining base while a change is pending */
+#define SHARED_MIN_MS 2000
+#define REFRESH_MS    10000
+#define DRAINING_BASE_MS                                                                           \
+	1000		       /* new flows still go to a draining base while a change is pending  \
+				*/
 #define RECOVER_HOLD_MS	  1000 /* before a fenced instance claims a shard again */
 #define OVERLOAD_PERMILLE 950
 #define RELIEVED_PERMILLE 800
@@ -195,8 +197,9 @@
 	bool leaving;
 	struct timespec leave_by;
 	bool cut;
-	bool fresh;    /* routing lease */
-	bool majority; /* leases of more than half of the members are fresh */
+	struct timespec cut_last; /* last time that the group seemed partitioned; 0 for never */
+	bool fresh;		  /* routing lease */
+	bool majority;		  /* leases of more than half of the members are fresh */
 	struct timespec last_timer;
 	GHashTable *calls; /* uint64_t to struct call */
 	uint64_t next_call;
--- a/t/fleet.h
+++ b/t/fleet.h
@@ -160,14 +160,24 @@
 	return rank < nr ? order[rank] : MEMBER_NONE;
 }
 
-bool members_lease_fresh(const struct members *mem, struct timespec now)
+static bool heard_within(const struct members *mem, struct timespec now, int64_t ms)
 {
 	for (uint32_t id = 1; id <= NODES_MAX; id++)
 		if (id != mem->self && members_state(mem, id) != MEMBER_DEAD)
-			return ts_to_ms(now) - mem->heard_any <= ROUTING_LEASE_MS;
+			return ts_to_ms(now) - mem->heard_any <= ms;
 	return true;
 }
 
+bool members_lease_fresh(const struct members *mem, struct timespec now)
+{
+	return heard_within(mem, now, ROUTING_LEASE_MS);
+}
+
+bool members_home_lease_fresh(const struct members *mem, struct timespec now)
+{
+	return heard_within(mem, now, 2 * ROUTING_LEASE_MS);
+}
+
 bool members_may_route(const struct members *mem, uint32_t id, struct timespec now)
 {
 	return id == mem->self || (members_state(mem, id) != MEMBER_DEAD &&
--- a/t/test-member.c
+++ b/t/test-member.c
@@ -149,7 +149,10 @@
 	simnet_free(net);
 }
 
-/* Guards against a lagging list that kills a live member or keeps a silent one. */
+/*
+ * Guards against a lagging list that kills a live member, keeps a silent one, or lets another
+ * member become home while the lease of a listed-gone home that is only cut off still runs.
+ */
 static void test_list(void)
 {
 	static const struct {
@@ -175,7 +178,9 @@
 
 			members_list(net->nodes[i].mem, &ctx, net->infos, 3);
 		}
-		sim_run(net, 2600);
+		sim_run(net, 2 * ROUTING_LEASE_MS - 500);
+		g_assert_cmpint(seen(net, 0, 1), !=, MEMBER_DEAD);
+		sim_run(net, ROUTING_LEASE_MS + 1500);
 		g_assert_cmpint(seen(net, 0, 1), ==, cases[c].want);
 		for (uint64_t key = 0; key < 50; key++)
 			home |= members_ranked(net->nodes[0].mem, key, 0) == 2;
