decide: ask before payload of an untried opening when members are silent

Between the start of a partition and its detection, a home forwarded payload of a flow that the other side had opened elsewhere.

--- a/decide.c
+++ b/decide.c
@@ -141,7 +141,7 @@
 		 * The other side of a partition may have opened the flow at another target. An
 		 * acceptance seen on this side shows that it was this one that the caller heard.
 		 */
-		if (shard->lead->guarded && !flow_trusted(flow) &&
+		if ((shard->lead->guarded || shard->lead->apart) && !flow_trusted(flow) &&
 		    shard->owner->addr.proto == IPPROTO_TCP)
 			return DECIDE_ASK;
 		if (payload_len)
--- a/query.c
+++ b/query.c
@@ -149,7 +149,8 @@
 		route_terminate(ctx, pkt);
 		return;
 	}
-	if (flow && (flow_trusted(flow) || (acting && !shard->lead->guarded))) {
+	if (flow &&
+	    (flow_trusted(flow) || (acting && !shard->lead->guarded && !shard->lead->apart))) {
 		route_forward(homes, ctx, shard, flow, pkt);
 		return;
 	}
--- a/recover.c
+++ b/recover.c
@@ -145,11 +145,13 @@
 {
 	struct shard_lead *lead = shard->lead;
 	uint32_t missing = 0;
+	uint32_t silent = 0;
 	bool waiting = false;
 
 	for (guint i = 0; i < lead->peers->len; i++) {
 		const struct shard_peer *peer = &g_array_index(lead->peers, struct shard_peer, i);
 
+		silent += peer->silent;
 		if (peer->answered)
 			continue;
 		if (peer_given_up(ctx, peer))
@@ -161,6 +163,9 @@
 	 * Every pin is held twice, so what one member alone does not tell is not lost. Without a
 	 * majority, the others may have another home already.
 	 */
+	/* One silent member has no group to open flows with; two may be a partition's other side.
+	 */
+	lead->apart = silent >= 2;
 	if (homes->cut && !lead->was_cut)
 		lead->cut_since = ctx->now;
 	lead->was_cut |= homes->cut;
--- a/shard.h
+++ b/shard.h
@@ -111,6 +111,7 @@
 	uint32_t lost;	  /* members lost with what they knew */
 	struct timespec uncertain_until;
 	bool guarded; /* flows may exist elsewhere: no elimination at all */
+	bool apart;   /* openings that nobody accepted here may be opened elsewhere */
 	bool announced_certain;
 	bool was_cut; /* a partition began at cut_since, in this term */
 	struct timespec cut_since;
