--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -8,6 +8,7 @@
 #define CACHE_FLOWS	  65536
 #define FABRIC_RETRY_MS	  100
 #define CATCH_UP_MS	  2000
+#define PROBE_TIMEOUT_MS  1000
 #define CONTROL_OVERHEAD  104 /* ONC RPC call header and seal */
 #define CORE_EVENT_NOBODY UINT32_MAX
 
@@ -37,6 +38,11 @@
 	return !sim->platform_down && !sim->dcs[sim_instance(sim, i)->dc].cut_platform;
 }
 
+static bool targets_cut(const struct sim *sim, uint32_t dc_a, uint32_t dc_b)
+{
+	return dc_a != dc_b && (sim->dcs[dc_a].cut_targets || sim->dcs[dc_b].cut_targets);
+}
+
 /* Platform: versions, watches and the list of instances. */
 
 static const struct sim_version *latest_version(const struct sim *sim, peer_object_kind kind,
@@ -537,8 +543,7 @@
 	    g_array_index(sim->flows, struct sim_flow, pkt.slot).tries > 0)
 		t = (t + 1) % sim->targets->len;
 	if (t == UINT32_MAX || link_loses(sim, inst->dc, sim_target(sim, t)->dc) ||
-	    (inst->dc != sim_target(sim, t)->dc &&
-	     (sim->dcs[inst->dc].cut_targets || sim->dcs[sim_target(sim, t)->dc].cut_targets)))
+	    targets_cut(sim, inst->dc, sim_target(sim, t)->dc))
 		return;
 	ev = sim_schedule(sim, sim_delay(sim, inst->dc, sim_target(sim, t)->dc), SIM_TO_TARGET, t,
 			  i);
@@ -553,7 +558,13 @@
 
 	if (t == UINT32_MAX)
 		return;
-	sim_target(sim, t)->probes++;
+	if (targets_cut(sim, inst->dc, sim_target(sim, t)->dc)) {
+		ev = sim_schedule(sim, PROBE_TIMEOUT_MS * SIM_US_PER_MS, SIM_PROBE, i, t);
+		ev->c = inst->incarnation;
+		ev->report = g_new0(struct health_report, 1);
+		ev->report->target = act->target;
+		return;
+	}
 	ev = sim_schedule(sim, sim_delay(sim, inst->dc, sim_target(sim, t)->dc), SIM_PROBE, i, t);
 	ev->c = inst->incarnation;
 }
--- a/replay-internal.h
+++ b/replay-internal.h
@@ -145,7 +145,6 @@
 	int64_t drained_us, withdrawn_us; /* negative when not */
 	GArray *openings_us;		  /* openings in its cold phase */
 	uint64_t flow_samples, opened;
-	uint32_t probes;
 	bool disturbed; /* not warm and eligible during the whole measured time */
 };
 
