target: look at loads only when a refresh is due

Cause: each heartbeat with news refreshed all targets at the next timer; with 426 targets that took most of the time of the measurement.

Change: only changed states refresh at once; the service and the answer for the data centre are kept. A target that left the configuration is no longer eligible for target_choose(). bench-control measures all traffic together: heartbeats, news and changes of configuration at the design rate.

Ruled out: measuring 426 targets in the group of 200, which takes over 8 min.

--- a/health.c
+++ b/health.c
@@ -121,6 +121,10 @@
 	bool changed = view->state != in->state || view->marker != in->marker;
 	bool first = view->at.tv_sec == 0 && view->at.tv_nsec == 0;
 
+	/* Loads alone are looked at when the next refresh is due. */
+	if (changed || first)
+		targets_changed(tgs);
+
 	view->same_reports =
 		!first && view->load_permille == in->load_permille ? view->same_reports + 1 : 0;
 	view->at = in->at;
@@ -181,7 +185,6 @@
 			continue;
 		take_view(tgs, ctx, tgt, &in);
 	}
-	targets_changed(tgs);
 }
 
 void targets_news(struct targets *tgs, struct ctx *ctx, uint32_t src, const peer_target_news *news,
@@ -214,8 +217,6 @@
 			slow_start_told(tgs, ctx, tgt, in.warm_percent);
 		}
 	}
-	if (nr)
-		targets_changed(tgs);
 }
 
 void health_find_probers(struct targets *tgs, struct target *tgt)
@@ -235,7 +236,7 @@
 
 void health_probe_due(struct targets *tgs, struct ctx *ctx, struct target *tgt)
 {
-	const struct service_state *svc = target_service(tgs, tgt);
+	const struct service_state *svc = tgt->svc;
 	bool needed = tgt->local || svc->spill || !svc->nr_local_fit;
 	uint32_t interval = needed ? PROBE_INTERVAL_MS : PROBE_SPARE_INTERVAL_MS;
 	struct action act = { .type = ACTION_PROBE, .target = tgt->ep };
--- a/load.c
+++ b/load.c
@@ -174,8 +174,8 @@
 		tgt->charges--;
 	if (!tgt->unanswered++)
 		tgt->first_unanswered = ctx->now;
-	svc = target_service(tgs, tgt);
-	if (config_target_by_index(tgs->cfg, target, &conf))
+	svc = tgt->svc;
+	if (svc && config_target_by_index(tgs->cfg, target, &conf))
 		budget_add(&svc->retries, (int64_t)BUDGET_TOKEN * conf->retry_permille / PERMILLE,
 			   RETRY_BURST * BUDGET_TOKEN);
 	/*
@@ -216,7 +216,7 @@
 	for (guint i = 0; i < tgs->list->len; i++) {
 		const struct target *other = g_ptr_array_index(tgs->list, i);
 
-		if (!other || other == tgt || !other->eligible || other->svc_key != tgt->svc_key)
+		if (!other || other == tgt || !other->eligible || other->svc != tgt->svc)
 			continue;
 		all++;
 		shedding += (other->last_shed.tv_sec || other->last_shed.tv_nsec) &&
--- a/t/simsync.h
+++ b/t/simsync.h
@@ -6,14 +6,25 @@
 
 #include "confsync.h"
 #include "simnet.h"
+#include "target.h"
 
 struct sync_node {
 	struct config *cfg;
 	struct confsync *sync;
+	struct targets *tgs; /* optional: see simsync_targets() */
 	bool watching;
 	uint64_t pulls_served;
 };
 
+static inline void simsync_changed(struct sim_node *node, struct ctx *ctx)
+{
+	struct sync_node *sn = node->user;
+
+	members_set_digest(node->mem, config_digest(sn->cfg));
+	if (sn->tgs)
+		targets_config_changed(sn->tgs, ctx);
+}
+
 static inline void simsync_message(struct simnet *net, struct sim_node *node, struct ctx *ctx,
 				   uint32_t src, uint32_t xid, const peer_msg *msg)
 {
@@ -23,7 +34,10 @@
 	sn->pulls_served += msg->type == PEER_CONFIG_PULL;
 	if (msg->type == PEER_HEARTBEAT)
 		confsync_digest(sn->sync, ctx, src, msg->peer_msg_u.heartbeat.config_digest);
-	else
+	if (msg->type == PEER_HEARTBEAT && sn->tgs)
+		targets_news(sn->tgs, ctx, src, msg->peer_msg_u.heartbeat.news.news_val,
+			     msg->peer_msg_u.heartbeat.news.news_len);
+	if (msg->type != PEER_HEARTBEAT)
 		confsync_peer(sn->sync, ctx, src, xid, msg);
 }
 
@@ -35,21 +49,47 @@
 
 	(void)net;
 	if (confsync_reply(sn->sync, ctx, src, call_id, status, msg))
-		members_set_digest(node->mem, config_digest(sn->cfg));
+		simsync_changed(node, ctx);
 }
 
 static inline void simsync_timer(struct simnet *net, struct sim_node *node, struct ctx *ctx)
 {
+	struct sync_node *sn = node->user;
+
 	(void)net;
-	confsync_timer(((struct sync_node *)node->user)->sync, ctx);
+	confsync_timer(sn->sync, ctx);
+	if (sn->tgs)
+		targets_timer(sn->tgs, ctx);
 }
 
 static inline void simsync_action(struct simnet *net, struct sim_node *node,
 				  const struct action *act)
 {
-	(void)net;
+	struct sync_node *sn = node->user;
+	struct health_report rep = { .target = act->target, .reachable = true, .ready = true };
+	struct ctx ctx = sim_ctx(net, node);
+	struct actions none;
+
 	if (act->type == ACTION_WATCH)
-		((struct sync_node *)node->user)->watching = act->on;
+		sn->watching = act->on;
+	if (act->type != ACTION_PROBE)
+		return;
+	/* A report makes no actions; the node's own list is being carried out. */
+	actions_init(&none);
+	ctx.out = &none;
+	rep.start_marker = 7;
+	rep.load_permille = random_below(&net->random.random, 1000);
+	targets_health(sn->tgs, &ctx, &rep);
+	actions_release(&none);
+}
+
+/* Adds health and load of targets to a node. */
+static inline void simsync_targets(struct sim_node *node)
+{
+	struct sync_node *sn = node->user;
+
+	sn->tgs = targets_new(sn->cfg, node->mem);
+	members_set_news(node->mem, targets_news_source(sn->tgs));
 }
 
 static inline void simsync_stop(struct sim_node *node)
@@ -59,6 +99,7 @@
 	if (!sn)
 		return;
 	confsync_free(sn->sync);
+	targets_free(sn->tgs);
 	config_free(sn->cfg);
 	g_free(sn);
 	node->user = NULL;
@@ -112,7 +153,7 @@
 	bool changed = confsync_object(sn->sync, &ctx, obj);
 
 	if (changed)
-		members_set_digest(node->mem, config_digest(sn->cfg));
+		simsync_changed(node, &ctx);
 	sim_flush(net, node);
 	return changed;
 }
--- a/target-internal.h
+++ b/target-internal.h
@@ -16,6 +16,8 @@
  */
 #define VIEW_MAX_AGE_MS 15000
 
+struct service_state;
+
 /* What one observer last said of a target. */
 struct view {
 	uint32_t observer; /* MEMBER_NONE for an unused entry */
@@ -54,7 +56,7 @@
 	uint32_t slots, max_flows, warmup_ms;
 	uint16_t dc;
 	uint32_t org;
-	uint64_t svc_key;
+	struct service_state *svc; /* NULL while not in force */
 	bool draining;
 
 	bool withdrawn;
@@ -110,12 +112,13 @@
 	GHashTable *services; /* service key to struct service_state */
 	uint64_t version;
 	struct timespec first_config; /* zero before */
-	struct timespec now;	      /* of the latest event */
+	uint16_t seen_dc;	      /* of the target before in a refresh, with its answer */
+	bool seen_local;
+	struct timespec now; /* of the latest event */
 	struct timespec next_refresh;
 };
 
 struct target *target_find(const struct targets *tgs, uint32_t index);
-struct service_state *target_service(struct targets *tgs, const struct target *tgt);
 /* Eligibility has to be brought up to date; done once for all changes until the next timer. */
 void targets_changed(struct targets *tgs);
 
--- a/target.c
+++ b/target.c
@@ -49,11 +49,6 @@
 	return svc;
 }
 
-struct service_state *target_service(struct targets *tgs, const struct target *tgt)
-{
-	return get_service(tgs, tgt->svc_key);
-}
-
 struct targets *targets_new(const struct config *cfg, struct members *mem)
 {
 	struct targets *tgs = g_new0(struct targets, 1);
@@ -107,15 +102,16 @@
 	struct follow *fol = arg;
 	struct targets *tgs = fol->tgs;
 	uint64_t key = service_key(conf->addr);
+	struct service_state *svc;
 	bool known = g_hash_table_contains(tgs->services, &key) &&
 		     ts_diff_ms(fol->ctx->now, tgs->first_config) > FIRST_CONFIG_MS;
 
-	get_service(tgs, key);
+	svc = get_service(tgs, key);
 	for (guint i = 0; i < conf->targets->len; i++) {
 		const struct target_config *tc =
 			&g_array_index(conf->targets, struct target_config, i);
 		struct target *tgt = target_find(tgs, tc->index);
-		bool added = !tgt || tgt->svc_key == 0;
+		bool added = !tgt || !tgt->svc;
 
 		if (!tgt)
 			tgt = add_target(tgs, tc);
@@ -125,7 +121,7 @@
 		tgt->dc = tc->dc;
 		tgt->org = conf->org;
 		tgt->draining = tc->draining;
-		tgt->svc_key = key;
+		tgt->svc = svc;
 		tgt->in_force = true;
 		if (!added)
 			continue;
@@ -147,14 +143,15 @@
 			continue;
 		memset(tgt->views, 0, sizeof(tgt->views));
 		tgt->slow = (struct slow_start){ 0 };
-		tgt->svc_key = 0;
+		tgt->svc = NULL;
+		tgt->eligible = tgt->restrained = false;
 		tgt->flows = tgt->charges = tgt->unanswered = tgt->sheds = 0;
 		tgt->passive_down = false;
 	}
 }
 
 /* May take new flows, apart from the question whether its data centre is needed. */
-static bool fit(struct targets *tgs, struct target *tgt, struct timespec now)
+static bool fit(const struct target *tgt, struct timespec now)
 {
 	peer_target_state state = health_state(tgt, now);
 
@@ -162,7 +159,7 @@
 		return false;
 	if (state != PEER_TARGET_UNKNOWN)
 		return state == PEER_TARGET_UP;
-	return target_service(tgs, tgt)->nr_up == 0 ||
+	return tgt->svc->nr_up == 0 ||
 	       (!tgt->is_new && ts_diff_ms(now, tgt->added) < UNKNOWN_GRACE_MS);
 }
 
@@ -171,7 +168,12 @@
 	const struct data_centre *dc = config_dc(tgs->cfg, tgt->dc);
 	bool withdrawn = config_withdrawn(tgs->cfg, tgt->org, tgt->dc);
 
-	tgt->local = dc && members_in_dc(tgs->mem, dc->name);
+	/* Neighbours in the list mostly share a data centre. */
+	if (tgt->dc != tgs->seen_dc) {
+		tgs->seen_dc = tgt->dc;
+		tgs->seen_local = dc && members_in_dc(tgs->mem, dc->name);
+	}
+	tgt->local = tgs->seen_local;
 	/* A data centre that returns ramps up like a starting target. */
 	if (tgt->withdrawn && !withdrawn)
 		slow_start_begin(tgs, ctx, tgt, ctx->now);
@@ -205,10 +207,10 @@
 
 static void count_target(struct targets *tgs, struct ctx *ctx, struct target *tgt)
 {
-	struct service_state *svc = target_service(tgs, tgt);
+	struct service_state *svc = tgt->svc;
 	uint32_t load;
 
-	if (!tgt->local || !fit(tgs, tgt, ctx->now))
+	if (!tgt->local || !fit(tgt, ctx->now))
 		return;
 	svc->nr_local_fit++;
 	load = load_estimate(tgs, tgt, ctx->now);
@@ -232,13 +234,13 @@
 	health_find_probers(tgs, tgt);
 	follow_withdrawal(tgs, ctx, tgt);
 	follow_evidence(tgs, ctx, tgt);
-	target_service(tgs, tgt)->nr_up += health_state(tgt, ctx->now) == PEER_TARGET_UP;
+	tgt->svc->nr_up += health_state(tgt, ctx->now) == PEER_TARGET_UP;
 }
 
 static void judge_target(struct targets *tgs, struct ctx *ctx, struct target *tgt)
 {
-	const struct service_state *svc = target_service(tgs, tgt);
-	bool eligible = fit(tgs, tgt, ctx->now) && (tgt->local || svc->spill || !svc->nr_local_fit);
+	const struct service_state *svc = tgt->svc;
+	bool eligible = fit(tgt, ctx->now) && (tgt->local || svc->spill || !svc->nr_local_fit);
 	bool restrained = eligible && (tgt->slow.active || !load_bears(tgs, tgt, ctx->now));
 
 	if (eligible != tgt->eligible || restrained != tgt->restrained)
@@ -253,6 +255,7 @@
 	gpointer value;
 
 	tgs->now = ctx->now;
+	tgs->seen_dc = UINT16_MAX;
 	tgs->next_refresh = ts_add_ms(ctx->now, REFRESH_MS);
 	g_hash_table_iter_init(&iter, tgs->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
