member: shorten the lease of groups of nine and more

Cause: heartbeats were cut to 1000 bytes/s each way for configuration; the lease of nine members, a size in use today, thereby rose above 2 s.

Change: the lease keeps the share of old counters below exp(-4) instead of exp(-5).

Ruled out: a larger part of the budget for heartbeats (all traffic of 61 members is 2903 bytes/s of 3000).

--- a/member.c
+++ b/member.c
@@ -106,10 +106,10 @@
 		return ROUTING_LEASE_MS;
 	/*
 	 * A counter that is passed on at random r times a second is older than x at a given member
-	 * with a probability of about n * exp(-r * x). The lease keeps that below exp(-5); two
+	 * with a probability of about n * exp(-r * x). The lease keeps that below exp(-4); two
 	 * observers must agree before anything follows from it.
 	 */
-	spread = MSEC_PER_SEC * (log(mem->size) + 5) / heartbeat_rate(mem->size);
+	spread = MSEC_PER_SEC * (log(mem->size) + 4) / heartbeat_rate(mem->size);
 	return MAX(ROUTING_LEASE_MS, (uint32_t)spread);
 }
 
