jsontext: stop at values that are nested too deeply

Cause: fuzzing found a settings file of 642 bytes that made the scanner loop and allocate without end: past the depth limit a value was not consumed, so an array waited for it for ever.

Change: such a value is a fault and ends the scan.

Ruled out: skipping the value only; a duplicate key behind it would go unseen.

--- a/jsontext.c
+++ b/jsontext.c
@@ -128,8 +128,15 @@
 	char c = scan_next(sc);
 	GString *ignored;
 
-	if (!c || depth > JSON_MAX_DEPTH)
+	if (!c)
 		return;
+	if (depth > JSON_MAX_DEPTH) {
+		/* Goes to the end, as an array would wait for ever for its next value. */
+		faults_add(sc->faults, sc->text->file->str, sc->line, path->str,
+			   "nested too deeply");
+		sc->pos = sc->end;
+		return;
+	}
 	if (c == '{' || c == '[') {
 		sc->pos++;
 		(c == '{' ? scan_object : scan_array)(sc, path, depth);
