core: say goodbye, and give up the list with the watch

Cause: a planned stop ended without telling the group, which then counted the instance as lost; an instance that ended its watch kept the last list as its own; and the wait before joining ignored that leases grow with the group.

Change: members_goodbye() at the end of a stop, members_list_ended() with the watch, members_lease_ms() for the wait, and the instance's own peer address in its contacts.

Ruled out: calling these from the loop; replay would then miss them.

--- a/core.c
+++ b/core.c
@@ -87,7 +87,7 @@
 static void join_when_ready(struct core *core, const struct ctx *ctx)
 {
 	if (core->stopping || !config_ready(core->cfg) ||
-	    ts_diff_ms(ctx->now, core->start) < ROUTING_LEASE_MS ||
+	    ts_diff_ms(ctx->now, core->start) < members_lease_ms(core->mem) ||
 	    members_state(core->mem, members_self(core->mem)) != MEMBER_JOINING)
 		return;
 	members_set_self(core->mem, MEMBER_LIVE);
@@ -216,6 +216,7 @@
 	homes_timer(core->homes, ctx);
 	if (core->stopping && !core->stopped && homes_left(core->homes)) {
 		core->stopped = true;
+		members_goodbye(core->mem, ctx);
 		actions_add(ctx->out, (struct action){ .type = ACTION_STOP }, NULL, 0);
 	}
 }
@@ -229,6 +230,15 @@
 	homes_leave(core->homes, ctx);
 }
 
+/* Whether confsync has just ended the watch, with which the platform's list ends too. */
+static bool watch_ended(const struct actions *out, guint first)
+{
+	for (guint i = first; i < out->list->len; i++)
+		if (actions_at(out, i)->type == ACTION_WATCH && !actions_at(out, i)->on)
+			return true;
+	return false;
+}
+
 /* Events of configuration spread; their calls are marked as confsync's. */
 static void handle_sync(struct core *core, struct ctx *ctx, const struct event *ev)
 {
@@ -239,6 +249,8 @@
 		changed = confsync_object(core->sync, ctx, &ev->object);
 	else
 		confsync_timer(core->sync, ctx);
+	if (watch_ended(ctx->out, first))
+		members_list_ended(core->mem, ctx);
 	mark_calls(ctx->out, first, CALL_OWNER_CONFSYNC);
 	if (changed)
 		config_changed(core, ctx);
--- a/loop.c
+++ b/loop.c
@@ -416,6 +416,7 @@
 			.group = set->group->str,
 			.data_centre = set->data_centre->str,
 			.incarnation = opts->incarnation,
+			.peer = set->peers,
 			.seeds = (const struct instance_info *)(void *)set->seeds->data,
 			.nr_seeds = set->seeds->len,
 		},
--- a/replay-fleet.c
+++ b/replay-fleet.c
@@ -836,6 +836,7 @@
 			.group = inst->group,
 			.data_centre = sim->dcs[inst->dc].name,
 			.incarnation = inst->incarnation,
+			.peer = { 0x0a000000u + inst->id, 7000 },
 		},
 		.max_flows = CACHE_FLOWS,
 		.random = &inst->random.random,
