config: use the strict address parsers of address.c

config-parse.c had parsers of endpoints and ranges of its own. They took leading zeros and signs in ports and mask lengths, and ranges with address bits below the mask, all of which `check` refuses. Instances also kept targets whose health endpoint was outside the grant, so that an organisation could have other servers probed.

Use endpoint_parse(), prefix_parse() and prefix_overlap(); a range of all addresses stays refused in grants. A target whose health endpoint is not granted is left out like one whose address is not. That is checked in config.c, where the grant is known: the parser of a document does not see it. Refusing /0 in prefix_parse() itself was ruled out, because its tests accept it.

Before: "198.51.100.1:06080" and "203.0.113.1/24" were accepted.

--- a/config-parse.c
+++ b/config-parse.c
@@ -1,11 +1,9 @@
 #include "config-parse.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <json-c/json.h>
 #include <netinet/in.h>
 #include <sodium.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define DOCUMENT_MAX		(1024 * 1024)
@@ -80,31 +78,12 @@
 	return array;
 }
 
-int parse_endpoint(const char *text, struct endpoint *ep)
-{
-	char ip[INET_ADDRSTRLEN];
-	const char *colon = text ? strchr(text, ':') : NULL;
-	struct in_addr addr;
-	char *end;
-	long port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(ip) || colon[1] < '0' || colon[1] > '9')
-		return -EINVAL;
-	memcpy(ip, text, (size_t)(colon - text));
-	ip[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (*end || port < 1 || port > UINT16_MAX || inet_pton(AF_INET, ip, &addr) != 1)
-		return -EINVAL;
-	*ep = (struct endpoint){ .ip = ntohl(addr.s_addr), .port = (uint16_t)port };
-	return 0;
-}
-
 static bool get_endpoint(json_object *obj, const char *key, struct endpoint *ep)
 {
 	json_object *field = json_object_object_get(obj, key);
 
 	return field && json_object_is_type(field, json_type_string) &&
-	       !parse_endpoint(json_object_get_string(field), ep);
+	       endpoint_parse(json_object_get_string(field), ep);
 }
 
 /* Checks that the document names the object that it came as. */
@@ -122,9 +101,7 @@
 bool ranges_contain(const GArray *ranges, uint32_t ip)
 {
 	for (guint i = 0; i < ranges->len; i++) {
-		const struct range *range = &g_array_index(ranges, struct range, i);
-
-		if ((ip & range->mask) == range->ip)
+		if (prefix_contains(g_array_index(ranges, struct prefix, i), ip))
 			return true;
 	}
 	return false;
@@ -134,37 +111,14 @@
 {
 	for (guint i = 0; i < a->len; i++) {
 		for (guint j = 0; j < b->len; j++) {
-			const struct range *x = &g_array_index(a, struct range, i);
-			const struct range *y = &g_array_index(b, struct range, j);
-			uint32_t mask = x->mask & y->mask;
-
-			if ((x->ip & mask) == (y->ip & mask))
+			if (prefix_overlap(g_array_index(a, struct prefix, i),
+					   g_array_index(b, struct prefix, j)))
 				return true;
 		}
 	}
 	return false;
 }
 
-static bool parse_range(const char *text, struct range *range)
-{
-	char ip[INET_ADDRSTRLEN];
-	const char *slash = strchr(text, '/');
-	struct in_addr addr;
-	char *end;
-	long bits;
-
-	if (!slash || (size_t)(slash - text) >= sizeof(ip) || !slash[1])
-		return false;
-	memcpy(ip, text, (size_t)(slash - text));
-	ip[slash - text] = '\0';
-	bits = strtol(slash + 1, &end, 10);
-	if (*end || bits < 1 || bits > 32 || inet_pton(AF_INET, ip, &addr) != 1)
-		return false;
-	range->mask = UINT32_MAX << (32 - bits);
-	range->ip = ntohl(addr.s_addr) & range->mask;
-	return true;
-}
-
 static bool parse_ranges(json_object *obj, const char *key, GArray *out)
 {
 	json_object *array = get_array(obj, key, MAX_SERVICES_PER_ORG);
@@ -173,10 +127,10 @@
 		return false;
 	for (size_t i = 0; i < json_object_array_length(array); i++) {
 		json_object *item = json_object_array_get_idx(array, i);
-		struct range range;
+		struct prefix range;
 
 		if (!json_object_is_type(item, json_type_string) ||
-		    !parse_range(json_object_get_string(item), &range))
+		    !prefix_parse(json_object_get_string(item), &range) || !range.mask)
 			return false;
 		g_array_append_val(out, range);
 	}
@@ -238,8 +192,8 @@
 		struct grant *grant = g_new0(struct grant, 1);
 		bool ok;
 
-		grant->addresses = g_array_new(FALSE, FALSE, sizeof(struct range));
-		grant->targets = g_array_new(FALSE, FALSE, sizeof(struct range));
+		grant->addresses = g_array_new(FALSE, FALSE, sizeof(struct prefix));
+		grant->targets = g_array_new(FALSE, FALSE, sizeof(struct prefix));
 		ok = parse_grant(json_object_array_get_idx(array, i), grant) &&
 		     !grant_clashes(list, grant);
 		if (!ok) {
--- a/config-parse.h
+++ b/config-parse.h
@@ -3,21 +3,16 @@
 #ifndef CONFIG_PARSE_H
 #define CONFIG_PARSE_H
 
+#include "address.h"
 #include "config.h"
 
-/* Address range, host byte order. */
-struct range {
-	uint32_t ip;
-	uint32_t mask;
-};
-
 /* What one organisation may use. */
 struct grant {
 	char *name;
 	uint8_t key[SIGNING_KEY_BYTES];
 	uint32_t max_flows;
-	GArray *addresses; /* struct range: of services */
-	GArray *targets;   /* struct range: of targets */
+	GArray *addresses; /* struct prefix: of services */
+	GArray *targets;   /* struct prefix: of targets */
 };
 
 void grant_free(struct grant *grant);
@@ -41,7 +36,4 @@
 int parse_data_centre(const struct object *obj, bool *withdrawn);
 void org_document_release(struct org_document *doc);
 
-/* Parses "IP:PORT" with a port of at least 1. Returns 0 or -EINVAL. */
-int parse_endpoint(const char *text, struct endpoint *ep);
-
 #endif
--- a/config.c
+++ b/config.c
@@ -227,7 +227,9 @@
 	for (guint i = svc->targets->len; i-- > 0;) {
 		struct target_config *tgt = &g_array_index(svc->targets, struct target_config, i);
 
-		if (ranges_contain(grant->targets, tgt->ep.ip))
+		/* Probes must not reach another organisation's servers either. */
+		if (ranges_contain(grant->targets, tgt->ep.ip) &&
+		    ranges_contain(grant->targets, tgt->health.ip))
 			continue;
 		g_free(tgt->name);
 		g_array_remove_index(svc->targets, i);
--- a/t/test-config.c
+++ b/t/test-config.c
@@ -9,9 +9,10 @@
 
 #include "config.h"
 
-#define TARGET(name, ip)                                                                           \
-	"{\"name\":\"" name "\",\"address\":\"" ip ":6080\",\"data_centre\":\"dc1\","              \
-	"\"health\":\"" ip ":8080\"}"
+#define TARGET_AT(name, address, health)                                                           \
+	"{\"name\":\"" name "\",\"address\":\"" address "\",\"data_centre\":\"dc1\","              \
+	"\"health\":\"" health "\"}"
+#define TARGET(name, ip) TARGET_AT(name, ip ":6080", ip ":8080")
 #define SERVICE(name, ip, targets)                                                                 \
 	"{\"name\":\"" name "\",\"address\":\"" ip                                                 \
 	":443\",\"protocol\":\"tcp\",\"targets\":[" targets "]}"
@@ -183,6 +184,66 @@
 	g_assert_false(config_ready(fix->cfg));
 }
 
+/* Guards against instances that accept addresses and ranges which `check` refuses. */
+static void test_strict_addresses(struct fixture *fix, gconstpointer data)
+{
+	static const struct {
+		const char *address;
+		int ret;
+	} endpoints[] = {
+		{ "198.51.100.1:06080", -EBADMSG }, { "198.51.100.1:+6080", -EBADMSG },
+		{ "198.51.100.1:0", -EBADMSG },	    { "198.51.100.1:65536", -EBADMSG },
+		{ "198.51.100.1: 6080", -EBADMSG }, { "198.51.100.1:6080 ", -EBADMSG },
+		{ "198.51.100.01:6080", -EBADMSG }, { "198.51.100.1", -EBADMSG },
+		{ "198.51.100.1:65535", 1 },
+	};
+	static const struct {
+		const char *range;
+		int ret;
+	} ranges[] = {
+		{ "203.0.113.1/24", -EBADMSG },	 { "203.0.113.0/024", -EBADMSG },
+		{ "203.0.113.0/+24", -EBADMSG }, { "203.0.113.0/ 24", -EBADMSG },
+		{ "203.0.113.0/33", -EBADMSG },	 { "0.0.0.0/0", -EBADMSG },
+		{ "203.0.113.0/24", 1 },
+	};
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(ranges); i++)
+		g_assert_cmpint(apply_grants(fix, 1, ranges[i].range), ==, ranges[i].ret);
+	for (size_t i = 0; i < G_N_ELEMENTS(endpoints); i++) {
+		char *svc = g_strdup_printf(
+			SERVICE("s", "192.0.2.1", TARGET_AT("t", "%s", "198.51.100.1:8080")),
+			endpoints[i].address);
+
+		g_assert_cmpint(apply_org(fix, "a", 1, svc, &fix->org_a), ==, endpoints[i].ret);
+		g_free(svc);
+	}
+}
+
+/* Guards against health probes that are sent to another organisation's servers. */
+static void test_health_in_grant(struct fixture *fix, gconstpointer data)
+{
+	static const struct {
+		const char *target;
+		guint in_force;
+	} cases[] = {
+		{ TARGET_AT("t", "198.51.100.1:6080", "198.51.100.2:8080"), 1 },
+		{ TARGET_AT("t", "198.51.100.1:6080", "198.51.100.200:8080"), 0 },
+		{ TARGET_AT("t", "198.51.100.200:6080", "198.51.100.1:8080"), 0 },
+		{ TARGET_AT("t", "198.51.100.1:6080", "203.0.113.1:8080"), 0 },
+	};
+
+	(void)data;
+	g_assert_cmpint(apply_grants(fix, 1, "198.51.100.128/25"), ==, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *svc = g_strdup_printf(SERVICE("s", "192.0.2.1", "%s"), cases[i].target);
+
+		g_assert_cmpint(apply_org(fix, "a", i + 1, svc, &fix->org_a), ==, 1);
+		g_assert_cmpuint(service_at(fix, 0xc0000201)->targets->len, ==, cases[i].in_force);
+		g_free(svc);
+	}
+}
+
 static void test_withdrawal_scope(struct fixture *fix, gconstpointer data)
 {
 	uint16_t dc;
@@ -239,6 +300,8 @@
 		{ "/config/generations-only-rise", test_generations_only_rise },
 		{ "/config/foreign-documents", test_foreign_documents },
 		{ "/config/malformed", test_malformed },
+		{ "/config/strict-addresses", test_strict_addresses },
+		{ "/config/health-in-grant", test_health_in_grant },
 		{ "/config/withdrawal-scope", test_withdrawal_scope },
 		{ "/config/digest-ignores-order", test_digest_ignores_order },
 	};
