target: count good and bad flows for the burn report

Count an acceptance where its answer goes to the caller, unless this instance saw an answer of the flow before; a shed where it goes to the caller; a termination where the reset is sent, once for each flow and instance (4096 slots of flow hashes); a refusal of ours for the service. Counters must not go down, because the report takes that for a restart: a good flow that is reset or terminated later takes the place of the next good one of its target. burn records refusals as target "(refused)". /metrics has target_flows_good_total, target_flows_bad_total and service_flows_refused_total.

Marking terminated flows as closed in the cache was ruled out: their entries would expire early, and a home could then take them for flows at the base. Counting at the opener only was ruled out: most packets of a flow reach other instances.

Flows of UDP services are not counted.

--- a/burn.c
+++ b/burn.c
@@ -182,37 +182,57 @@
 		json_object_object_add(to, key, json_object_get(value));
 }
 
+static void add_line(json_object *line, GString *out)
+{
+	g_string_append_printf(out, "%s\n",
+			       json_object_to_json_string_ext(line, JSON_C_TO_STRING_PLAIN));
+	json_object_put(line);
+}
+
+static json_object *new_line(json_object *status, json_object *svc, int64_t now)
+{
+	json_object *line = json_object_new_object();
+
+	json_object_object_add(line, "time", json_object_new_int64(now));
+	copy(line, "instance", json_object_object_get(status, "instance"), "name");
+	copy(line, "organisation", svc, "organisation");
+	copy(line, "service", svc, "name");
+	copy(line, "slo_permille", svc, "slo_permille");
+	return line;
+}
+
 size_t burn_lines(json_object *status, int64_t now, GString *out)
 {
-	json_object *inst = json_object_object_get(status, "instance");
 	size_t nr = 0;
 
 	for (size_t i = 0; i < json_len(status, "services"); i++) {
 		json_object *svc = json_item(status, "services", i);
+		json_object *line;
 
 		for (size_t j = 0; j < json_len(svc, "targets"); j++) {
 			json_object *tgt = json_item(svc, "targets", j);
-			json_object *line;
 
 			if (!json_object_object_get_ex(tgt, "good", NULL) ||
 			    !json_object_object_get_ex(tgt, "bad", NULL))
 				continue;
-			line = json_object_new_object();
-			json_object_object_add(line, "time", json_object_new_int64(now));
-			copy(line, "instance", inst, "name");
-			copy(line, "organisation", svc, "organisation");
-			copy(line, "service", svc, "name");
-			copy(line, "slo_permille", svc, "slo_permille");
+			line = new_line(status, svc, now);
 			copy(line, "target", tgt, "name");
 			copy(line, "data_centre", tgt, "data_centre");
 			copy(line, "good", tgt, "good");
 			copy(line, "bad", tgt, "bad");
-			g_string_append_printf(
-				out, "%s\n",
-				json_object_to_json_string_ext(line, JSON_C_TO_STRING_PLAIN));
-			json_object_put(line);
+			add_line(line, out);
 			nr++;
 		}
+		if (!json_object_object_get_ex(svc, "refused", NULL))
+			continue;
+		/* Parentheses can't occur in names of targets and data centres. */
+		line = new_line(status, svc, now);
+		json_object_object_add(line, "target", json_object_new_string("(refused)"));
+		json_object_object_add(line, "data_centre", json_object_new_string("(refused)"));
+		json_object_object_add(line, "good", json_object_new_int64(0));
+		copy(line, "bad", svc, "refused");
+		add_line(line, out);
+		nr++;
 	}
 	return nr;
 }
--- a/load.c
+++ b/load.c
@@ -266,6 +266,23 @@
 		heard(tgt, ctx->now);
 }
 
+void target_outcome(struct targets *tgs, uint32_t target, enum flow_outcome outcome)
+{
+	struct target *tgt = target_find(tgs, target);
+
+	if (!tgt)
+		return;
+	if (outcome == FLOW_GOOD && tgt->spoiled)
+		tgt->spoiled--;
+	else if (outcome == FLOW_GOOD)
+		tgt->good++;
+	else if (outcome != FLOW_SHED)
+		/* Stray packets can end flows that never were; they must not spoil all to come. */
+		tgt->spoiled = MIN(tgt->spoiled + 1, tgt->good);
+	if (outcome == FLOW_SHED || outcome == FLOW_TERMINATED)
+		tgt->bad++;
+}
+
 struct timespec target_last_answer(const struct targets *tgs, uint32_t target)
 {
 	const struct target *tgt = target_find(tgs, target);
--- a/metrics.c
+++ b/metrics.c
@@ -88,6 +88,7 @@
 	const char *name;
 	const char *help;
 	uint64_t (*value)(const struct target_status *st);
+	const char *type;
 };
 
 static uint64_t col_eligible(const struct target_status *st)
@@ -115,12 +116,25 @@
 	return st->flows;
 }
 
+static uint64_t col_good(const struct target_status *st)
+{
+	return st->good;
+}
+
+static uint64_t col_bad(const struct target_status *st)
+{
+	return st->bad;
+}
+
 static const struct target_column columns[] = {
-	{ "target_eligible", "1 when the target takes new flows", col_eligible },
-	{ "target_share_permille", "slow start share, 1000 when warm", col_share },
-	{ "target_load_permille", "load that the target reported", col_load },
-	{ "target_report_age_ms", "age of the target's report", col_age },
-	{ "target_flows", "flows opened here to the target and not closed", col_flows },
+	{ "target_eligible", "1 when the target takes new flows", col_eligible, "gauge" },
+	{ "target_share_permille", "slow start share, 1000 when warm", col_share, "gauge" },
+	{ "target_load_permille", "load that the target reported", col_load, "gauge" },
+	{ "target_report_age_ms", "age of the target's report", col_age, "gauge" },
+	{ "target_flows", "flows opened here to the target and not closed", col_flows, "gauge" },
+	{ "target_flows_good_total", "flows that the target accepted", col_good, "counter" },
+	{ "target_flows_bad_total", "flows that the target shed or that were terminated", col_bad,
+	  "counter" },
 };
 
 struct target_walk {
@@ -151,6 +165,20 @@
 	}
 }
 
+static void add_service_refused(struct service *svc, void *arg)
+{
+	const struct target_walk *walk = arg;
+	const struct organisation *org =
+		config_organisation(core_config(walk->view->core), svc->org);
+
+	g_string_append(walk->out, METRICS_PREFIX "service_flows_refused_total{");
+	metrics_add_label(walk->out, "organisation", org ? org->name : "");
+	g_string_append_c(walk->out, ',');
+	metrics_add_label(walk->out, "service", svc->name);
+	g_string_append_printf(walk->out, "} %" PRIu64 "\n",
+			       target_get_refused(core_targets(walk->view->core), svc));
+}
+
 static void add_generation(const struct object *obj, void *arg)
 {
 	static const char *const kinds[] = {
@@ -194,10 +222,14 @@
 	add_head(out, "config_generation", "gauge",
 		 "generation of a configuration object in force");
 	config_each_object(core_config(core), add_generation, out);
+	add_head(out, "service_flows_refused_total", "counter",
+		 "openings of the service that were refused without a target");
+	config_each_service(core_config(core), add_service_refused,
+			    &(struct target_walk){ out, view, NULL });
 	for (size_t i = 0; i < G_N_ELEMENTS(columns); i++) {
 		struct target_walk walk = { out, view, &columns[i] };
 
-		add_head(out, columns[i].name, "gauge", columns[i].help);
+		add_head(out, columns[i].name, columns[i].type, columns[i].help);
 		config_each_service(core_config(core), add_service_targets, &walk);
 	}
 }
--- a/pass.c
+++ b/pass.c
@@ -115,7 +115,7 @@
 			route_bare(homes, ctx, shard_bucket(shard, pass->flow)->base, &pkt);
 		break;
 	case DECIDE_TERMINATE:
-		route_terminate(ctx, &pkt);
+		route_terminate(homes, ctx, shard, pass->flow, &pkt);
 		break;
 	case DECIDE_ASK:
 		query_start(homes, ctx, shard, pass->flow, QUERY_FIND, &pkt, 0);
@@ -221,10 +221,10 @@
 	case PEER_VERDICT_REFUSE:
 		flow = flowtab_find(homes->tab, call->hash);
 		if (!flow || !flow_trusted(flow))
-			route_refuse(ctx, &call->parked->pkt);
+			route_refuse(homes, ctx, shard, &call->parked->pkt);
 		break;
 	case PEER_VERDICT_TERMINATE:
-		route_terminate(ctx, &call->parked->pkt);
+		route_terminate(homes, ctx, shard, call->hash, &call->parked->pkt);
 		break;
 	default:
 		ctx->counters->drop_uncertain++;
--- a/query.c
+++ b/query.c
@@ -146,7 +146,7 @@
 					query->best.opening_id, pin_flags(&query->best));
 	}
 	if (flow && target_fate(homes, flow->target) != TARGET_FINE) {
-		route_terminate(ctx, pkt);
+		route_terminate(homes, ctx, shard, query->hash, pkt);
 		return;
 	}
 	if (flow &&
@@ -171,7 +171,8 @@
 	ctx->counters->drop_unknown_flow++;
 }
 
-static void finish_silence(struct homes *homes, struct ctx *ctx, struct query *query)
+static void finish_silence(struct homes *homes, struct ctx *ctx, struct shard *shard,
+			   struct query *query)
 {
 	struct flow *flow = flowtab_find(homes->tab, query->hash);
 	uint32_t now_ms = flowtab_ms(homes->tab, ctx->now);
@@ -186,7 +187,7 @@
 	/* Kept as closed for a while: its packets must not become those of an unknown flow. */
 	flow->flags |= FLOW_CLOSED;
 	flow->waiting = 0;
-	route_terminate(ctx, &query->parked->pkt);
+	route_terminate(homes, ctx, shard, query->hash, &query->parked->pkt);
 }
 
 /* Tells all members of a flow's new target; one that saved the opening sends it there. */
@@ -282,7 +283,7 @@
 			finish_find(homes, ctx, shard, query);
 			break;
 		case QUERY_SILENCE:
-			finish_silence(homes, ctx, query);
+			finish_silence(homes, ctx, shard, query);
 			break;
 		case QUERY_RETRY:
 			finish_retry(homes, ctx, shard, query);
--- a/route.c
+++ b/route.c
@@ -2,18 +2,34 @@
 
 #include <netinet/in.h>
 
-void route_terminate(struct ctx *ctx, const struct packet *pkt)
+static void count_terminated(struct homes *homes, struct shard *shard, uint64_t hash)
+{
+	const struct flow *flow = flowtab_find(homes->tab, hash);
+	uint64_t *ended = &homes->ended[hash % ENDED_SLOTS];
+
+	if (*ended == hash)
+		return;
+	*ended = hash;
+	target_outcome(homes->tgs, flow ? flow->target : shard_bucket(shard, hash)->base,
+		       FLOW_TERMINATED);
+}
+
+void route_terminate(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+		     const struct packet *pkt)
 {
 	if (pkt->key.service.proto != IPPROTO_TCP || pkt->kind == PACKET_CANCEL) {
 		ctx->counters->drop_withdrawn++;
 		return;
 	}
 	ctx->counters->terminated++;
+	count_terminated(homes, shard, hash);
 	actions_add(ctx->out, (struct action){ .type = ACTION_REFUSE }, pkt->bytes, pkt->len);
 }
 
-void route_refuse(struct ctx *ctx, const struct packet *pkt)
+void route_refuse(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		  const struct packet *pkt)
 {
+	target_none_refused(homes->tgs, shard->owner->svc);
 	ctx->counters->refused++;
 	actions_add(ctx->out, (struct action){ .type = ACTION_REFUSE }, pkt->bytes, pkt->len);
 }
@@ -80,9 +96,32 @@
 		    pkt->bytes, pkt->len);
 }
 
+/* Counts what the answer that goes to the caller says of the flow. */
+static void count_answer(struct homes *homes, const struct flow *flow, const struct answer *ans)
+{
+	const struct service *svc = config_service(homes->cfg, ans->key.service);
+	const struct target_config *tc = svc ? config_target(homes->cfg, svc, ans->target) : NULL;
+
+	if (!tc)
+		return;
+	if (ans->kind == ANSWER_REFUSED) {
+		target_outcome(homes->tgs, tc->index, FLOW_SHED);
+	} else if (ans->kind == ANSWER_RESET && flow && !(flow->flags & FLOW_CLOSED)) {
+		target_outcome(homes->tgs, tc->index, FLOW_RESET);
+	} else if (ans->kind == ANSWER_ACCEPTED && flow && !flow->answered_ms) {
+		/* A repeated acceptance finds that the flow was answered. */
+		target_outcome(homes->tgs, tc->index, FLOW_GOOD);
+		if (homes->ended[flow->hash % ENDED_SLOTS] == flow->hash)
+			homes->ended[flow->hash % ENDED_SLOTS] = 0;
+	}
+}
+
 void route_to_caller(struct homes *homes, struct ctx *ctx, struct flow *flow,
 		     const struct answer *ans)
 {
+	if (ans->kind == ANSWER_ACCEPTED || ans->kind == ANSWER_REFUSED ||
+	    ans->kind == ANSWER_RESET)
+		count_answer(homes, flow, ans);
 	if (flow)
 		flow_answered(homes, ctx, flow, ans);
 	ctx->counters->answered++;
@@ -135,7 +174,7 @@
 		if (opening)
 			ctx->counters->drop_withdrawn++;
 		else
-			route_terminate(ctx, pkt);
+			route_terminate(homes, ctx, shard, hash, pkt);
 		return;
 	}
 	flow = flow_set(homes, ctx, shard, hash, base, opening ? pkt->opening_id : 0, FLOW_BASE);
@@ -169,10 +208,10 @@
 			route_forward(homes, ctx, shard, flow, pkt);
 		break;
 	case DECIDE_REFUSE:
-		route_refuse(ctx, pkt);
+		route_refuse(homes, ctx, shard, pkt);
 		break;
 	case DECIDE_TERMINATE:
-		route_terminate(ctx, pkt);
+		route_terminate(homes, ctx, shard, hash, pkt);
 		break;
 	case DECIDE_ASK:
 		query_start(homes, ctx, shard, hash,
@@ -235,7 +274,7 @@
 	}
 	if (flow && pkt->kind != PACKET_OPENING && flow_trusted(flow) &&
 	    target_fate(homes, flow->target) != TARGET_FINE) {
-		route_terminate(ctx, pkt);
+		route_terminate(homes, ctx, shard, hash, pkt);
 		return;
 	}
 	if (shard_acting(homes, ctx, shard)) {
--- a/route.h
+++ b/route.h
@@ -21,7 +21,9 @@
 void route_to_caller(struct homes *homes, struct ctx *ctx, struct flow *flow,
 		     const struct answer *ans);
 /* Resets the flow at its caller, without a claim that the request was not run. */
-void route_terminate(struct ctx *ctx, const struct packet *pkt);
-void route_refuse(struct ctx *ctx, const struct packet *pkt);
+void route_terminate(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
+		     const struct packet *pkt);
+void route_refuse(struct homes *homes, struct ctx *ctx, struct shard *shard,
+		  const struct packet *pkt);
 
 #endif
--- a/shard.h
+++ b/shard.h
@@ -183,7 +183,12 @@
 	struct timespec since;
 };
 
+/* Slots that remember which flow was terminated last, so that a burst of its packets counts once.
+ */
+#define ENDED_SLOTS 4096
+
 struct homes {
+	uint64_t ended[ENDED_SLOTS]; /* flow hash */
 	const struct config *cfg;
 	struct members *mem;
 	struct targets *tgs;
--- a/status.c
+++ b/status.c
@@ -152,6 +152,8 @@
 	add_count(obj, "report_age_ms", st.report_age_ms);
 	add_count(obj, "share_permille", st.share_permille);
 	add_count(obj, "flows", st.flows);
+	add_count(obj, "good", st.good);
+	add_count(obj, "bad", st.bad);
 	return obj;
 }
 
@@ -167,6 +169,8 @@
 	add_string(obj, "name", svc->name);
 	add_endpoint(obj, "address", svc->addr.ep);
 	add_string(obj, "protocol", svc->addr.proto == IPPROTO_UDP ? "udp" : "tcp");
+	add_count(obj, "slo_permille", svc->slo_permille);
+	add_count(obj, "refused", target_get_refused(core_targets(walk->view->core), svc));
 	for (guint i = 0; i < svc->targets->len; i++) {
 		json_object *tgt = target_json(
 			walk->view, svc, &g_array_index(svc->targets, struct target_config, i));
--- a/t/fleet.h
+++ b/t/fleet.h
@@ -32,6 +32,8 @@
 struct targets {
 	struct fleet *fleet;
 	uint32_t flows[TARGETS_MAX];
+	uint32_t outcomes[TARGETS_MAX][FLOW_TERMINATED + 1];
+	uint32_t refused;
 };
 
 struct node {
@@ -295,6 +297,17 @@
 	tgs->flows[target]--;
 }
 
+void target_outcome(struct targets *tgs, uint32_t target, enum flow_outcome outcome)
+{
+	tgs->outcomes[target][outcome]++;
+}
+
+void target_none_refused(struct targets *tgs, const struct service *svc)
+{
+	(void)svc;
+	tgs->refused++;
+}
+
 void target_accepted(struct targets *tgs, struct ctx *ctx, uint32_t target)
 {
 	(void)tgs;
--- a/t/test-home.c
+++ b/t/test-home.c
@@ -299,6 +299,8 @@
 		syn(fix, id, 30, 3);
 	fleet_run(&fix->fleet, 300);
 	g_assert_cmpuint(count(fix, ACTION_REFUSE, TARGET_NONE), ==, fix->fleet.nr);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		g_assert_cmpuint(fix->fleet.nodes[id].tgs.refused, ==, 1);
 	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 0);
 }
 
@@ -332,11 +334,54 @@
 	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 0);
 	g_assert_cmpuint(count(fix, ACTION_ANSWER, TARGET_NONE), ==, 0);
 	g_assert_cmpuint(count(fix, ACTION_REFUSE, TARGET_NONE), ==, 2 * fix->fleet.nr);
+	/* Each instance sent two resets for the flow and counts it once. */
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+		g_assert_cmpuint(fix->fleet.nodes[id].tgs.outcomes[1][FLOW_TERMINATED], ==, 1);
 	syn(fix, 1, flow_at(fix, 1, 0) + 1, 8);
 	fleet_run(&fix->fleet, 100);
 	g_assert_cmpuint(last_target(fix) % 2, ==, 0);
 }
 
+/* Guards against flows that the burn report misses, counts twice or takes for good ones. */
+static void test_outcomes(struct fixture *fix, gconstpointer nodes)
+{
+	const struct {
+		enum answer_kind answers[3];
+		int nr;
+		uint32_t outcomes[FLOW_TERMINATED + 1];
+	} cases[] = {
+		{ { ANSWER_ACCEPTED }, 1, { [FLOW_GOOD] = 1 } },
+		{ { ANSWER_ACCEPTED, ANSWER_ACCEPTED, ANSWER_DATA }, 3, { [FLOW_GOOD] = 1 } },
+		{ { ANSWER_REFUSED }, 1, { [FLOW_SHED] = 1 } },
+		{ { ANSWER_ACCEPTED, ANSWER_REFUSED }, 2, { [FLOW_GOOD] = 1 } },
+		{ { ANSWER_ACCEPTED, ANSWER_RESET, ANSWER_RESET },
+		  3,
+		  { [FLOW_GOOD] = 1, [FLOW_RESET] = 1 } },
+	};
+
+	(void)nodes;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint32_t sum[FLOW_TERMINATED + 1] = { 0 };
+		uint32_t flow = 300 + (uint32_t)i;
+		uint32_t base = flow_bucket(fix, 1, flow)->base;
+
+		for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+			memset(fix->fleet.nodes[id].tgs.outcomes, 0,
+			       sizeof(fix->fleet.nodes[id].tgs.outcomes));
+		fix->fleet.retries = 0;
+		syn(fix, 1, flow, 9);
+		for (int j = 0; j < cases[i].nr; j++) {
+			answer(fix, 2, flow, 9, base, cases[i].answers[j]);
+			fleet_run(&fix->fleet, 300);
+		}
+		for (uint32_t id = 1; id <= fix->fleet.nr; id++)
+			for (int k = 0; k <= FLOW_TERMINATED; k++)
+				sum[k] += fix->fleet.nodes[id].tgs.outcomes[base][k];
+		for (int k = 0; k <= FLOW_TERMINATED; k++)
+			g_assert_cmpuint(sum[k], ==, cases[i].outcomes[k]);
+	}
+}
+
 /* Guards against silent flows that stay open, and live ones that are ended as silent. */
 static void test_silence(struct fixture *fix, gconstpointer nodes)
 {
@@ -509,6 +554,7 @@
 	ADD("shed", 4, test_shed);
 	ADD("refusal", 4, test_refusal);
 	ADD("withdrawal", 4, test_withdrawal);
+	ADD("outcomes", 4, test_outcomes);
 	ADD("silence", 4, test_silence);
 	ADD("old-term", 5, test_old_term);
 	ADD("losses", 6, test_losses);
--- a/t/test-metrics.c
+++ b/t/test-metrics.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "burn.h"
 #include "status.h"
 
 static const char grants[] =
@@ -199,6 +200,63 @@
 	return json_object_get_string(member(obj, key));
 }
 
+/* Outcomes of flows to the first target, and one refusal. */
+static void count_flows(struct fixture *fix)
+{
+	static const enum flow_outcome outcomes[] = { FLOW_GOOD, FLOW_GOOD, FLOW_SHED };
+	const struct service *svc = config_service(
+		core_config(fix->view.core), (struct service_addr){ { 0xc0000201, 7000 }, 6 });
+
+	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++)
+		target_outcome(core_targets(fix->view.core),
+			       g_array_index(svc->targets, struct target_config, 0).index,
+			       outcomes[i]);
+	target_none_refused(core_targets(fix->view.core), svc);
+}
+
+/* Guards against a status page from which no burn report can be made. */
+static void test_burn(void)
+{
+	static const char *const lines[] = {
+		"\"slo_permille\":999,\"target\":\"t-1\",\"data_centre\":\"dc-a\",\"good\":2,"
+		"\"bad\":1}",
+		"\"target\":\"t-2\",\"data_centre\":\"dc-b\",\"good\":0,\"bad\":0}",
+		"\"target\":\"(refused)\",\"data_centre\":\"(refused)\",\"good\":0,\"bad\":1}",
+	};
+	GString *page = g_string_new(NULL);
+	GString *out = g_string_new(NULL);
+	struct burn *burn = burn_new();
+	struct fixture fix;
+	json_object *root;
+	gchar **split;
+
+	fixture_init(&fix);
+	configure(&fix);
+	count_flows(&fix);
+	status_write(page, &fix.view);
+	root = json_tokener_parse(page->str);
+	g_assert_cmpuint(burn_lines(root, 1000, out), ==, 4);
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		g_assert_nonnull(strstr(out->str, lines[i]));
+	split = g_strsplit(out->str, "\n", 0);
+	for (size_t i = 0; i < 4; i++)
+		g_assert_cmpint(burn_add(burn, split[i]), ==, 0);
+	g_string_truncate(page, 0);
+	metrics_write(page, &fix.view);
+	g_assert_nonnull(strstr(page->str, "target_flows_good_total{organisation=\"org\","
+					   "service=\"svc\",target=\"t-1\"} 2\n"));
+	g_assert_nonnull(strstr(page->str, "target_flows_bad_total{organisation=\"org\","
+					   "service=\"svc\",target=\"t-1\"} 1\n"));
+	g_assert_nonnull(strstr(page->str, "service_flows_refused_total{organisation=\"org\","
+					   "service=\"svc\"} 1\n"));
+	g_strfreev(split);
+	burn_free(burn);
+	json_object_put(root);
+	g_string_free(out, TRUE);
+	g_string_free(page, TRUE);
+	fixture_release(&fix);
+}
+
 static void test_status(void)
 {
 	GString *page = g_string_new(NULL);
@@ -210,6 +268,7 @@
 	fixture_init(&fix);
 	configure(&fix);
 	core_counters(fix.view.core)->drop_crossed = 3;
+	count_flows(&fix);
 	status_write(page, &fix.view);
 	root = json_tokener_parse(page->str);
 	g_assert_nonnull(root);
@@ -254,6 +313,7 @@
 	g_test_add_func("/metrics/labels", test_labels);
 	g_test_add_func("/metrics/page", test_page);
 	g_test_add_func("/metrics/status", test_status);
+	g_test_add_func("/metrics/burn", test_burn);
 	g_test_add_func("/metrics/health", test_health);
 	return g_test_run();
 }
--- a/t/test-target.c
+++ b/t/test-target.c
@@ -327,6 +327,35 @@
 	fixture_free(fix);
 }
 
+/* Guards against counters of the burn report that go down or keep a spoiled flow as good. */
+static void test_outcomes(void)
+{
+	static const struct {
+		enum flow_outcome outcome;
+		uint64_t good, bad;
+	} steps[] = {
+		{ FLOW_TERMINATED, 0, 1 }, /* of an earlier process of the instance */
+		{ FLOW_GOOD, 1, 1 },	   { FLOW_GOOD, 2, 1 }, { FLOW_SHED, 2, 2 },
+		{ FLOW_TERMINATED, 2, 3 }, { FLOW_GOOD, 2, 3 }, { FLOW_GOOD, 3, 3 },
+		{ FLOW_RESET, 3, 3 },	   { FLOW_GOOD, 3, 3 }, { FLOW_GOOD, 4, 3 },
+	};
+	struct fixture *fix = fixture_new(2);
+	struct target_status st;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		target_outcome(fix->tgs, fix->index[0], steps[i].outcome);
+		target_get_status(fix->tgs, fix->index[0], fix->ctx.now, &st);
+		g_assert_cmpuint(st.good, ==, steps[i].good);
+		g_assert_cmpuint(st.bad, ==, steps[i].bad);
+	}
+	target_get_status(fix->tgs, fix->index[1], fix->ctx.now, &st);
+	g_assert_cmpuint(st.good + st.bad, ==, 0);
+	g_assert_cmpuint(target_get_refused(fix->tgs, fix->svc), ==, 0);
+	target_none_refused(fix->tgs, fix->svc);
+	g_assert_cmpuint(target_get_refused(fix->tgs, fix->svc), ==, 1);
+	fixture_free(fix);
+}
+
 /* Guards against a dead target that keeps its flows while probes say that it is well, and against
  * one that is given up although only its health endpoint is broken. */
 static void test_misleading_health(void)
@@ -441,6 +470,7 @@
 	g_test_add_func("/target/lying-marker", test_lying_marker);
 	g_test_add_func("/target/lying-load", test_lying_load);
 	g_test_add_func("/target/shedding", test_shedding);
+	g_test_add_func("/target/outcomes", test_outcomes);
 	g_test_add_func("/target/misleading-health", test_misleading_health);
 	g_test_add_func("/target/group", test_group);
 	return g_test_run();
--- a/target-internal.h
+++ b/target-internal.h
@@ -86,6 +86,9 @@
 	uint32_t passive_ms;
 	struct timespec passive_end;
 
+	uint64_t good, bad;
+	uint64_t spoiled; /* good ones that ended badly, to be taken off later ones */
+
 	struct slow_start slow;
 };
 
@@ -95,6 +98,7 @@
 struct service_state {
 	uint64_t key;
 	struct budget retries;
+	uint64_t refused;
 	bool spill; /* no capacity left in the own data centres */
 	struct timespec full_since;
 	/* Of its targets, from the last refresh. */
--- a/target.c
+++ b/target.c
@@ -343,6 +343,19 @@
 	return budget_take(&get_service(tgs, service_key(svc->addr))->retries);
 }
 
+void target_none_refused(struct targets *tgs, const struct service *svc)
+{
+	get_service(tgs, service_key(svc->addr))->refused++;
+}
+
+uint64_t target_get_refused(const struct targets *tgs, const struct service *svc)
+{
+	const uint64_t key = service_key(svc->addr);
+	const struct service_state *state = g_hash_table_lookup(tgs->services, &key);
+
+	return state ? state->refused : 0;
+}
+
 void target_get_status(const struct targets *tgs, uint32_t target, struct timespec now,
 		       struct target_status *st)
 {
@@ -352,6 +365,8 @@
 	*st = (struct target_status){ .share_permille = 1000, .report_age_ms = UINT32_MAX };
 	if (!tgt || !tgt->in_force)
 		return;
+	st->good = tgt->good;
+	st->bad = tgt->bad;
 	st->eligible = tgt->eligible;
 	st->starting = tgt->slow.active;
 	st->share_permille = slow_start_share(tgt, now);
--- a/target.h
+++ b/target.h
@@ -69,6 +69,22 @@
 void target_shed(struct targets *tgs, struct ctx *ctx, uint32_t target);
 void target_closed(struct targets *tgs, struct ctx *ctx, uint32_t target);
 void target_answered(struct targets *tgs, struct ctx *ctx, uint32_t target);
+/* What became of a flow, for the burn report. */
+enum flow_outcome {
+	FLOW_GOOD,	 /* the accepting answer went to the caller */
+	FLOW_SHED,	 /* the target's refusal went to the caller */
+	FLOW_RESET,	 /* the target reset it before it closed: neither good nor bad */
+	FLOW_TERMINATED, /* ended by us */
+};
+
+/*
+ * Counts an outcome; the instance that sends the packet calls it. As good flows never go down, one
+ * that is reset or terminated after it was counted takes the place of the target's next good one.
+ */
+void target_outcome(struct targets *tgs, uint32_t target, enum flow_outcome outcome);
+/* An opening of the service was refused without a target. */
+void target_none_refused(struct targets *tgs, const struct service *svc);
+uint64_t target_get_refused(const struct targets *tgs, const struct service *svc);
 /* Time of the last answer that this instance saw from the target; zero for never. */
 struct timespec target_last_answer(const struct targets *tgs, uint32_t target);
 
@@ -80,6 +96,8 @@
 	uint32_t load_permille;	 /* latest report */
 	uint32_t report_age_ms;
 	uint32_t flows; /* opened here and not closed */
+	uint64_t good;	/* flows since the start of the instance */
+	uint64_t bad;
 };
 void target_get_status(const struct targets *tgs, uint32_t target, struct timespec now,
 		       struct target_status *st);
