decide: drop an acceptance of a wrong target of an unpinned flow

Cause: the home pinned a flow that its complete table did not have at whatever target a SYN-ACK came from. Such a flow is at the base by elimination, so a late or crossed SYN-ACK of another target reached the caller.

Change: an acceptance is judged by the same rule as other answers; in an uncertain shard it pins the flow as before.

--- a/decide.c
+++ b/decide.c
@@ -215,6 +215,15 @@
 		ctx->counters->drop_crossed++;
 		return DECIDE_DROP;
 	}
+	/*
+	 * A flow that the complete table does not have is at the base. An acceptance shows no more
+	 * than other answers: a late one of an ended flow with the same key looks alike.
+	 */
+	if (!flow && !lead_uncertain(shard, ctx) && target != bucket->base &&
+	    shard->owner->addr.proto == IPPROTO_TCP) {
+		ctx->counters->drop_crossed++;
+		return DECIDE_DROP;
+	}
 	if (kind == ANSWER_ACCEPTED) {
 		if (!flow) {
 			flow = flow_set(homes, ctx, shard, hash, target, opening_id,
@@ -228,11 +237,6 @@
 			return DECIDE_DROP;
 		}
 		flow->flags |= FLOW_ESTABLISHED | (shard->lead->guarded ? FLOW_HELD : 0);
-	} else if (!flow && !lead_uncertain(shard, ctx) && target != bucket->base &&
-		   shard->owner->addr.proto == IPPROTO_TCP) {
-		/* Not in the complete table, so the flow is at the base. */
-		ctx->counters->drop_crossed++;
-		return DECIDE_DROP;
 	}
 	*out = flow;
 	return DECIDE_FORWARD;
--- a/t/test-home.c
+++ b/t/test-home.c
@@ -209,6 +209,31 @@
 	g_assert_cmpuint(count(fix, ACTION_FORWARD, TARGET_NONE), ==, 1);
 }
 
+/*
+ * Guards against an acceptance of a wrong target that pins a flow which the home knows to be at the
+ * base only by elimination.
+ */
+static void test_crossed_acceptance(struct fixture *fix, gconstpointer nodes)
+{
+	uint32_t flow = flow_at(fix, 1, 1);
+
+	(void)nodes;
+	fleet_eligible(&fix->fleet, 1, false);
+	fleet_run(&fix->fleet, 4000);
+	g_assert_cmpuint(flow_bucket(fix, 1, flow)->mode, ==, BUCKET_SHARED);
+	for (uint32_t id = 1; id <= fix->fleet.nr; id++) {
+		answer(fix, id, flow, 5, 2, ANSWER_ACCEPTED);
+		fleet_run(&fix->fleet, 100);
+	}
+	g_assert_cmpuint(count(fix, ACTION_ANSWER, TARGET_NONE), ==, 0);
+	data(fix, 3, flow);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(last_target(fix), ==, 1);
+	answer(fix, 3, flow, 5, 1, ANSWER_ACCEPTED);
+	fleet_run(&fix->fleet, 100);
+	g_assert_cmpuint(count(fix, ACTION_ANSWER, TARGET_NONE), ==, 1);
+}
+
 /* Guards against an instance that wakes from a pause and routes by what it knew before. */
 static void test_pause(struct fixture *fix, gconstpointer nodes)
 {
@@ -505,6 +530,7 @@
 	ADD("two-phases", 5, test_two_phases);
 	ADD("recent", 4, test_recent);
 	ADD("second-holder", 4, test_second_holder);
+	ADD("crossed-acceptance", 4, test_crossed_acceptance);
 	ADD("pause", 5, test_pause);
 	ADD("shed", 4, test_shed);
 	ADD("refusal", 4, test_refusal);
