home: let instances that stop together leave

Cause: a leaving instance waited for somebody to take its shards over although all others were leaving too, and ended after 30 s with an incomplete stop.

Change: it has left when every other member is leaving or gone.

Ruled out: a shorter deadline for every stop; a hand-over may need it.

Conclusion: a joining member still makes the others wait, as it can take over.

--- a/home.c
+++ b/home.c
@@ -396,6 +396,18 @@
 	members_set_self(homes->mem, MEMBER_LEAVING);
 }
 
+/* Whether no other member can become home, now or soon: all of them leave or are gone. */
+static bool nobody_stays(const struct homes *homes)
+{
+	for (guint i = 0; i < homes->peers->len; i++) {
+		uint32_t id = g_array_index(homes->peers, uint32_t, i);
+
+		if (members_state(homes->mem, id) != MEMBER_LEAVING)
+			return false;
+	}
+	return true;
+}
+
 bool homes_left(const struct homes *homes)
 {
 	uint32_t self = members_self(homes->mem);
@@ -404,7 +416,7 @@
 	if (!homes->leaving || homes->parked)
 		return false;
 	/* Alone because of a partition: the others need what this instance knows when it heals. */
-	if (!homes->peers->len && (!homes->cut || late))
+	if (nobody_stays(homes) && (!homes->cut || late))
 		return true;
 	for (guint i = 0; i < homes->order->len; i++) {
 		const struct service_state *st = g_ptr_array_index(homes->order, i);
--- a/t/test-home.c
+++ b/t/test-home.c
@@ -563,6 +563,28 @@
 	g_assert_cmpuint(st.parked, ==, 0);
 }
 
+/*
+ * Guards against instances that stop together and wait for somebody to hand over to; one that
+ * stops alone must wait for the member that stays.
+ */
+static void test_last_leave(struct fixture *fix, gconstpointer nodes)
+{
+	struct fleet *fleet = &fix->fleet;
+	uint32_t nr = GPOINTER_TO_UINT(nodes);
+	struct actions acts;
+
+	for (uint32_t id = 1; id <= nr; id++) {
+		struct ctx ctx = fleet_ctx(fleet, &fleet->nodes[id], &acts);
+
+		homes_leave(fleet->nodes[id].homes, &ctx);
+		actions_release(&acts);
+		g_assert_false(homes_left(fleet->nodes[id].homes));
+	}
+	fleet_run(fleet, 2 * ROUTING_LEASE_MS);
+	for (uint32_t id = 1; id <= nr; id++)
+		g_assert_true(homes_left(fleet->nodes[id].homes));
+}
+
 #define ADD(name, nodes, fn)                                                                       \
 	g_test_add("/home/" name, struct fixture, GUINT_TO_POINTER(nodes), fixture_init, fn,       \
 		   fixture_release)
@@ -586,5 +608,6 @@
 	ADD("losses", 6, test_losses);
 	ADD("udp", 4, test_udp);
 	ADD("bounds", 4, test_bounds);
+	ADD("last-leave", 2, test_last_leave);
 	return g_test_run();
 }
