target: detect cold starts from resets and move repeated openings

Cause: a start without a new marker showed only in sheds.

Change: three resets of open flows in a row within 1 s begin slow start, at most three times in ten minutes. A start brings eligibility up to date at once. Repeated openings go on only to a target that is not known to be down, except in a partition. Replay notes name openings above the share.

--- a/decide.c
+++ b/decide.c
@@ -80,7 +80,12 @@
 static enum decision decide_known(struct homes *homes, struct ctx *ctx, struct shard *shard,
 				  struct flow *flow)
 {
-	if (flow_trusted(flow) || target_usable(homes->tgs, flow->target))
+	/* In a partition the target may be well on the other side: a repeat elsewhere opens twice.
+	 */
+	bool apart = shard->lead->guarded || shard->lead->apart || homes->ghosts->len;
+
+	if (flow_trusted(flow) || (apart ? target_usable(homes->tgs, flow->target)
+					 : target_reachable(homes->tgs, flow->target)))
 		return DECIDE_FORWARD;
 	query_start(homes, ctx, shard, flow->hash, QUERY_RETRY, NULL, flow->opening_id);
 	ctx->counters->drop_no_target++;
--- a/load.c
+++ b/load.c
@@ -28,6 +28,13 @@
 #define COLD_LOAD_BELOW	 500
 #define COLD_SHED_GAP_MS 1000
 
+/*
+ * Resets of open flows within the gap, with no other answer between them, that show a target that
+ * lost its flows. A single one is usual: a flow that the target closed or never had.
+ */
+#define COLD_RESETS	  3
+#define COLD_RESET_GAP_MS 1000
+
 #define PASSIVE_WINDOW_MS 1000
 #define PASSIVE_MIN_MS	  2000
 #define PASSIVE_MAX_MS	  30000
@@ -262,8 +269,25 @@
 {
 	struct target *tgt = target_find(tgs, target);
 
-	if (tgt)
-		heard(tgt, ctx->now);
+	if (!tgt)
+		return;
+	heard(tgt, ctx->now);
+	tgt->resets = 0;
+}
+
+void target_reset(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	struct target *tgt = target_find(tgs, target);
+
+	if (!tgt)
+		return;
+	heard(tgt, ctx->now);
+	if (!tgt->resets || ts_diff_ms(ctx->now, tgt->first_reset) > COLD_RESET_GAP_MS) {
+		tgt->resets = 0;
+		tgt->first_reset = ctx->now;
+	}
+	if (++tgt->resets >= COLD_RESETS)
+		slow_start_assume(tgs, ctx, tgt);
 }
 
 struct timespec target_last_answer(const struct targets *tgs, uint32_t target)
--- a/replay-traffic.c
+++ b/replay-traffic.c
@@ -534,6 +534,10 @@
 	}
 	tgt->opened += sim->now_us >= sim->measure_from_us && sim->now_us < sim->measure_to_us;
 	share = start_share(sim, tgt);
+	if (share > 1000)
+		sim_note(sim, "%s is %lld ms old and gets %llu per mille of its share", tgt->name,
+			 (long long)((sim->now_us - tgt->started_us) / SIM_US_PER_MS),
+			 (unsigned long long)share);
 	sim->m.peak_start_share = MAX(sim->m.peak_start_share, share);
 	if (share > 1000 && tgt->fragile) {
 		sim->m.falls++;
--- a/route.c
+++ b/route.c
@@ -201,7 +201,8 @@
 {
 	if (pkt->kind == PACKET_OPENING)
 		return flow->opening_id == pkt->opening_id &&
-		       (flow_trusted(flow) || (flow->flags & FLOW_HELD));
+		       (flow_trusted(flow) ||
+			((flow->flags & FLOW_HELD) && target_reachable(homes->tgs, flow->target)));
 	return flow_trusted(flow) && entry_fresh(homes, ctx, shard, flow);
 }
 
@@ -298,7 +299,10 @@
 	struct bucket *bucket = shard_bucket(shard, hash);
 	struct flow *flow = flowtab_find(homes->tab, hash);
 
-	target_answered(homes->tgs, ctx, target);
+	if (ans->kind == ANSWER_RESET)
+		target_reset(homes->tgs, ctx, target);
+	else
+		target_answered(homes->tgs, ctx, target);
 	if (target_fate(homes, target) != TARGET_FINE) {
 		ctx->counters->drop_withdrawn++;
 		return;
--- a/slowstart.c
+++ b/slowstart.c
@@ -25,6 +25,9 @@
 #define MARKER_CHANGES_MAX 3
 #define MARKER_WINDOW_MS   (10 * 60 * MSEC_PER_SEC)
 
+/* Evidence of a start that comes this long after the known one is that of another start. */
+#define COLD_AGAIN_MS 5000
+
 uint32_t slow_start_share(const struct target *tgt, struct timespec now)
 {
 	int64_t elapsed;
@@ -54,6 +57,8 @@
 	tgt->opened_since_report = 0;
 	ctx->counters->cold_starts++;
 	health_spread(tgs, ctx, tgt);
+	/* Homes share the buckets of the target at once, not at the next refresh. */
+	targets_changed(tgs);
 }
 
 bool slow_start_marker(struct targets *tgs, struct ctx *ctx, struct target *tgt, uint32_t marker,
@@ -85,6 +90,23 @@
 	return true;
 }
 
+void slow_start_assume(struct targets *tgs, struct ctx *ctx, struct target *tgt)
+{
+	struct slow_start *slow = &tgt->slow;
+
+	/* Flows of the process before are reset for a while after a start that is known. */
+	if (slow->active && ts_diff_ms(ctx->now, slow->began) < COLD_AGAIN_MS)
+		return;
+	if (!slow->assumed || ts_diff_ms(ctx->now, slow->assumed_window) > MARKER_WINDOW_MS) {
+		slow->assumed_window = ctx->now;
+		slow->assumed = 0;
+	}
+	if (slow->assumed >= MARKER_CHANGES_MAX)
+		return;
+	slow->assumed++;
+	slow_start_begin(tgs, ctx, tgt, ctx->now);
+}
+
 void slow_start_told(struct targets *tgs, struct ctx *ctx, struct target *tgt,
 		     uint32_t warm_percent)
 {
--- a/t/fleet.h
+++ b/t/fleet.h
@@ -262,6 +262,11 @@
 	return target < TARGETS_MAX && tgs->fleet->usable[target];
 }
 
+bool target_reachable(const struct targets *tgs, uint32_t target)
+{
+	return target_usable(tgs, target);
+}
+
 uint32_t target_choose(struct targets *tgs, struct ctx *ctx, uint32_t current, uint32_t alternate)
 {
 	(void)ctx;
@@ -302,6 +307,11 @@
 	(void)target;
 }
 
+void target_reset(struct targets *tgs, struct ctx *ctx, uint32_t target)
+{
+	target_accepted(tgs, ctx, target);
+}
+
 void target_shed(struct targets *tgs, struct ctx *ctx, uint32_t target)
 {
 	target_accepted(tgs, ctx, target);
--- a/t/test-target.c
+++ b/t/test-target.c
@@ -201,7 +201,7 @@
 /* Guards against a cold target that gets more than its share, however the start shows. */
 static void test_slow_start(void)
 {
-	enum { ADDED, MARKER, NEWS, SHEDS, DOWN } kind;
+	enum { ADDED, MARKER, NEWS, SHEDS, RESETS, DOWN } kind;
 
 	for (kind = ADDED; kind <= DOWN; kind++) {
 		struct fixture *fix = fixture_new(kind == ADDED ? 2 : 3);
@@ -228,6 +228,16 @@
 			target_shed(fix->tgs, &fix->ctx, fix->index[2]);
 			run(fix, 1200);
 		}
+		/* Two, and any number with other answers between them, are no evidence. */
+		for (int i = 0; kind == RESETS && i < 6; i++) {
+			if (i % 2 == 0)
+				target_answered(fix->tgs, &fix->ctx, fix->index[2]);
+			target_reset(fix->tgs, &fix->ctx, fix->index[2]);
+		}
+		target_get_status(fix->tgs, fix->index[2], fix->ctx.now, &st);
+		g_assert_true(kind != RESETS || !st.starting);
+		for (int i = 0; kind == RESETS && i < 3; i++)
+			target_reset(fix->tgs, &fix->ctx, fix->index[2]);
 		if (kind == DOWN) {
 			fix->rep[2].reachable = false;
 			run(fix, 5000);
--- a/target-internal.h
+++ b/target-internal.h
@@ -43,6 +43,8 @@
 	struct timespec marker_at;
 	uint32_t marker_changes;
 	struct timespec marker_window;
+	uint32_t assumed; /* starts assumed without a marker, within the window */
+	struct timespec assumed_window;
 };
 
 struct target {
@@ -79,7 +81,9 @@
 	uint32_t unanswered; /* openings since the last answer */
 	struct timespec first_unanswered;
 	struct timespec last_answer, last_accept, last_shed;
-	uint32_t sheds; /* since the last accepted opening */
+	uint32_t sheds;	 /* since the last accepted opening */
+	uint32_t resets; /* of open flows, since the last other answer */
+	struct timespec first_reset;
 	uint32_t backoff_ms;
 	struct timespec backoff_end;
 	bool passive_down;
@@ -148,6 +152,8 @@
 /* A report named a start marker. Returns true when a cold start was detected. */
 bool slow_start_marker(struct targets *tgs, struct ctx *ctx, struct target *tgt, uint32_t marker,
 		       struct timespec at);
+/* Traffic or reports look like those of a cold target. */
+void slow_start_assume(struct targets *tgs, struct ctx *ctx, struct target *tgt);
 /* A member says how warm the target is. */
 void slow_start_told(struct targets *tgs, struct ctx *ctx, struct target *tgt,
 		     uint32_t warm_percent);
--- a/target.c
+++ b/target.c
@@ -337,6 +337,14 @@
 		ts_diff_ms(tgs->now, tgt->last_answer) < ANSWER_PROVES_USABLE_MS);
 }
 
+bool target_reachable(const struct targets *tgs, uint32_t target)
+{
+	const struct target *tgt = target_find(tgs, target);
+
+	return tgt && tgt->in_force && !tgt->withdrawn && !tgt->passive_down &&
+	       health_state(tgt, tgs->now) != PEER_TARGET_DOWN;
+}
+
 bool target_take_retry(struct targets *tgs, struct ctx *ctx, const struct service *svc)
 {
 	(void)ctx;
--- a/target.h
+++ b/target.h
@@ -46,6 +46,11 @@
 bool target_restrained(const struct targets *tgs, uint32_t target);
 /* Reachable and not withdrawn: packets of established flows may still go there. */
 bool target_usable(const struct targets *tgs, uint32_t target);
+/*
+ * No evidence that it is down: an opening may be repeated there. An old answer, which keeps
+ * established flows, does not count; repeats would pile up and meet the target as it starts.
+ */
+bool target_reachable(const struct targets *tgs, uint32_t target);
 
 /*
  * Picks the target of a new flow: the bucket's @current or its @alternate (TARGET_NONE for none).
@@ -69,6 +74,8 @@
 void target_shed(struct targets *tgs, struct ctx *ctx, uint32_t target);
 void target_closed(struct targets *tgs, struct ctx *ctx, uint32_t target);
 void target_answered(struct targets *tgs, struct ctx *ctx, uint32_t target);
+/* The target reset an open flow. Resets in a row without any other answer show a cold start. */
+void target_reset(struct targets *tgs, struct ctx *ctx, uint32_t target);
 /* Time of the last answer that this instance saw from the target; zero for never. */
 struct timespec target_last_answer(const struct targets *tgs, uint32_t target);
 
