recover: rank the backup only when pins are copied

Cause: copy_pins() ranked the members for each shard of a home in every timer. Change: rank after the early return; the result was not used before it.

--- a/recover.c
+++ b/recover.c
@@ -240,13 +240,15 @@
 static void copy_pins(struct homes *homes, struct ctx *ctx, struct shard *shard)
 {
 	struct shard_lead *lead = shard->lead;
-	uint32_t backup = shard_backup(homes, ctx, shard, MEMBER_NONE);
 	uint32_t cursor = lead->copy_cursor;
 	peer_msg msg = { .type = PEER_PIN_BATCH };
+	uint32_t backup;
 	GArray *pins;
 
 	if (!lead->copying || lead->copy_call)
 		return;
+	/* Ranks all members, which is too costly for each shard in each timer. */
+	backup = shard_backup(homes, ctx, shard, MEMBER_NONE);
 	pins = g_array_new(FALSE, FALSE, sizeof(peer_pin));
 	if (backup != MEMBER_NONE)
 		pins_gather(homes, ctx, shard, &cursor, PINS_PER_MESSAGE, true, pins);
