home: visit quiet shards in turn

Cause: every timer visited every shard, 15,680 at 980 services, which took a fifth of a core against a budget of 4%. Flows of shards were visited one shard in 50 ms, so at that size a shard's turn came after 784 s although members are to refresh base flows every 10 s. A target of which no word had come within 60 s of the start became ineligible, so large groups shared buckets for nothing.

Change: services where something is under way are visited in every timer, and of the others about 512 shards, each at least once a second; all of a small fleet's as before. Flows of all shards are visited within 10 s. A target without word stays eligible unless it was added later.

Conclusion: 3 members home 5,227 shards each, a group of 61 homes 257 each; the budget at 61 members still has to be measured.

--- a/assign.c
+++ b/assign.c
@@ -25,19 +25,28 @@
 	}
 }
 
-void weights_refresh(struct homes *homes, struct service_state *st)
+void weights_refresh(struct homes *homes, struct ctx *ctx, struct service_state *st)
 {
 	/* Any mix will do: the version is only compared with itself. */
 	uint64_t version = targets_version(homes->tgs) * 31 + homes->config_changes * 1000003 +
 			   members_version(homes->mem) * 0x10001 + 1;
 
-	if (version == st->weights_version)
+	GArray *before = st->weights;
+
+	if (version == st->weights_read)
 		return;
-	st->weights_version = version;
-	g_array_set_size(st->weights, 0);
+	st->weights_read = version;
+	st->weights = g_array_new(FALSE, FALSE, sizeof(struct weighted_target));
 	add_weights(homes, st, true);
 	if (!st->weights->len)
 		add_weights(homes, st, false);
+	if (before->len != st->weights->len ||
+	    (before->len && memcmp(before->data, st->weights->data,
+				   before->len * sizeof(struct weighted_target)) != 0)) {
+		st->weights_version++;
+		st->busy_until = ts_add_ms(ctx->now, BUSY_MS);
+	}
+	g_array_unref(before);
 }
 
 struct shard_peer *lead_peer(struct shard *shard, uint32_t id)
@@ -124,7 +133,8 @@
 	if (!changed)
 		shard->epoch--;
 	lead->wanted = 0;
-	lead->targets_version = shard->owner->weights_version;
+	lead->weights_version = shard->owner->weights_version;
+	lead->targets_version = homes->targets_version;
 	lead->next_review = ts_add_ms(ctx->now, REVIEW_MS);
 }
 
@@ -221,7 +231,8 @@
 
 	if (shard->role != SHARD_HOME || !shard_acting(homes, ctx, shard))
 		return;
-	if (lead->wanted || lead->targets_version != shard->owner->weights_version ||
+	if (lead->wanted || lead->weights_version != shard->owner->weights_version ||
+	    lead->targets_version != homes->targets_version ||
 	    ts_cmp(ctx->now, lead->next_review) >= 0)
 		review(homes, ctx, shard);
 	if (lead->announced_certain != !lead->guarded) {
--- a/home.c
+++ b/home.c
@@ -213,14 +213,13 @@
 	return !((struct service_state *)value)->svc;
 }
 
-static void read_members(struct homes *homes);
+static void read_members(struct homes *homes, struct ctx *ctx);
 
 void homes_config_changed(struct homes *homes, struct ctx *ctx)
 {
 	GHashTableIter it;
 	gpointer value;
 
-	(void)ctx;
 	g_hash_table_iter_init(&it, homes->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		((struct service_state *)value)->svc = NULL;
@@ -231,8 +230,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		g_ptr_array_add(homes->order, value);
 	homes->config_changes++;
-	homes->members_version = 0;
-	read_members(homes);
+	homes->members_version = 0; /* elects the homes of new services */
+	read_members(homes, ctx);
 }
 
 static void add_peer(uint32_t id, void *arg)
@@ -270,7 +269,7 @@
 	}
 }
 
-static void read_members(struct homes *homes)
+static void read_members(struct homes *homes, struct ctx *ctx)
 {
 	GArray *before = homes->peers;
 	uint64_t version = members_version(homes->mem) + 1;
@@ -279,10 +278,15 @@
 	homes->peers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	members_each(homes->mem, add_peer, homes->peers);
 	read_ghosts(homes, before);
+	if (before->len != homes->peers->len ||
+	    (before->len &&
+	     memcmp(before->data, homes->peers->data, before->len * sizeof(uint32_t)) != 0))
+		homes->busy_until = ts_add_ms(ctx->now, BUSY_MS);
 	g_array_unref(before);
 	if (version == homes->members_version)
 		return;
 	homes->members_version = version;
+	homes->busy_until = ts_add_ms(ctx->now, BUSY_MS);
 	for (guint i = 0; i < homes->order->len; i++) {
 		struct service_state *st = g_ptr_array_index(homes->order, i);
 
@@ -316,11 +320,15 @@
 	bool cut = members_maybe_cut(homes->mem);
 	bool fresh = members_lease_fresh(homes->mem, ctx->now);
 	guint may_route = 1;
+	bool majority;
 
 	for (guint i = 0; i < homes->peers->len; i++)
 		may_route += members_may_route(homes->mem, g_array_index(homes->peers, uint32_t, i),
 					       ctx->now);
-	homes->majority = may_route * 2 > homes->peers->len + homes->ghosts->len + 1;
+	majority = may_route * 2 > homes->peers->len + homes->ghosts->len + 1;
+	if (majority != homes->majority || cut != homes->cut)
+		homes->busy_until = ts_add_ms(ctx->now, BUSY_MS);
+	homes->majority = majority;
 	if (!members_home_lease_fresh(homes->mem, ctx->now))
 		shard_each(homes, shard_give_up, ctx);
 	else if (cut)
@@ -346,43 +354,90 @@
 	homes->last_timer = ctx->now;
 }
 
-static void visit_next_shard(struct homes *homes, struct ctx *ctx)
+/* Looks at the flows of the next shards, so that each has its turn within REFRESH_MS. */
+static void visit_flows(struct homes *homes, struct ctx *ctx)
 {
 	size_t total = (size_t)homes->order->len * SHARDS_PER_SERVICE;
-	struct service_state *st;
-	struct shard *shard;
+	size_t share = MAX(1, total * TIMER_INTERVAL_MS / REFRESH_MS);
+
+	for (size_t i = 0; total && i < share; i++) {
+		struct service_state *st;
+		struct shard *shard;
+
+		homes->visit = (homes->visit + 1) % total;
+		st = g_ptr_array_index(homes->order, homes->visit / SHARDS_PER_SERVICE);
+		shard = &st->shards[homes->visit % SHARDS_PER_SERVICE];
+		if (shard->role == SHARD_HOME)
+			assign_settle(homes, ctx, shard);
+		else
+			follow_refresh(homes, ctx, shard);
+	}
+}
 
-	if (!total)
-		return;
-	homes->visit = (homes->visit + 1) % total;
-	st = g_ptr_array_index(homes->order, homes->visit / SHARDS_PER_SERVICE);
-	shard = &st->shards[homes->visit % SHARDS_PER_SERVICE];
-	if (shard->role == SHARD_HOME)
-		assign_settle(homes, ctx, shard);
-	else
-		follow_refresh(homes, ctx, shard);
+/* Whether something about the shard is under way, so that it must be visited in every timer. */
+static bool unsettled(const struct homes *homes, const struct shard *shard)
+{
+	const struct shard_lead *lead = shard->lead;
+
+	if (shard->role == SHARD_FOLLOWER)
+		return !shard->valid || (shard->elected && !homes->leaving);
+	if (shard->role == SHARD_RECOVERING || lead->pending || lead->wanted || lead->copying ||
+	    lead->guarded || !lead->announced_certain)
+		return true;
+	for (guint i = 0; i < lead->peers->len; i++) {
+		const struct shard_peer *peer = &g_array_index(lead->peers, struct shard_peer, i);
+
+		if (!peer->answered || peer->acked < shard->epoch)
+			return true;
+	}
+	return false;
 }
 
-void homes_timer(struct homes *homes, struct ctx *ctx)
+static void visit_service(struct homes *homes, struct ctx *ctx, struct service_state *st,
+			  uint32_t *syncs)
+{
+	for (size_t s = 0; s < SHARDS_PER_SERVICE; s++) {
+		struct shard *shard = &st->shards[s];
+
+		recover_timer(homes, ctx, shard);
+		assign_timer(homes, ctx, shard);
+		follow_timer(homes, ctx, shard, syncs);
+		if (unsettled(homes, shard))
+			st->busy_until = ts_add_ms(ctx->now, BUSY_MS);
+	}
+}
+
+static void visit_services(struct homes *homes, struct ctx *ctx)
 {
+	const uint32_t most = REVIEW_MS / TIMER_INTERVAL_MS;
+	const uint32_t turns = MIN(most, 1 + homes->order->len * SHARDS_PER_SERVICE / VISIT_SHARDS);
+	bool all = ts_cmp(ctx->now, homes->busy_until) < 0;
 	uint32_t syncs = SYNCS_PER_TIMER;
 
-	check_pause(homes, ctx);
-	homes->started = true;
-	homes->last_timer = ctx->now;
-	read_members(homes);
-	read_contact(homes, ctx);
+	homes->turn = (homes->turn + 1) % turns;
 	for (guint i = 0; i < homes->order->len; i++) {
 		struct service_state *st = g_ptr_array_index(homes->order, i);
 
-		weights_refresh(homes, st);
-		for (size_t s = 0; s < SHARDS_PER_SERVICE; s++) {
-			recover_timer(homes, ctx, &st->shards[s]);
-			assign_timer(homes, ctx, &st->shards[s]);
-			follow_timer(homes, ctx, &st->shards[s], &syncs);
-		}
+		weights_refresh(homes, ctx, st);
+		if (all || i % turns == homes->turn || ts_cmp(ctx->now, st->busy_until) < 0)
+			visit_service(homes, ctx, st, &syncs);
 	}
-	visit_next_shard(homes, ctx);
+}
+
+void homes_timer(struct homes *homes, struct ctx *ctx)
+{
+	uint64_t version = targets_version(homes->tgs);
+
+	check_pause(homes, ctx);
+	homes->started = true;
+	homes->last_timer = ctx->now;
+	read_members(homes, ctx);
+	read_contact(homes, ctx);
+	if (version != homes->targets_version)
+		homes->busy_until = ts_add_ms(ctx->now, BUSY_MS);
+	homes->targets_version = version;
+	visit_services(homes, ctx);
+	visit_flows(homes, ctx);
 	query_timer(homes, ctx);
 	calls_expire(homes, ctx);
 	homes->sweep_slots = MAX(SWEEP_MIN, flowtab_slots(homes->tab) / SWEEP_FRACTION);
@@ -392,6 +447,7 @@
 void homes_leave(struct homes *homes, struct ctx *ctx)
 {
 	homes->leave_by = ts_add_ms(ctx->now, LEAVE_MS);
+	homes->busy_until = homes->leave_by;
 	homes->leaving = true;
 	members_set_self(homes->mem, MEMBER_LEAVING);
 }
@@ -463,6 +519,8 @@
 		follow_unknown(ctx, src, xid, msg);
 		return;
 	}
+	if (msg->type == PEER_SHARD_ANNOUNCE || msg->type == PEER_SHARD_PULL)
+		shard->owner->busy_until = ts_add_ms(ctx->now, BUSY_MS);
 	switch (msg->type) {
 	case PEER_SHARD_ANNOUNCE:
 		follow_announce(homes, ctx, shard, src, xid, &msg->peer_msg_u.announce);
--- a/query.c
+++ b/query.c
@@ -118,8 +118,10 @@
 	g_hash_table_insert(homes->queries, g_memdup2(&hash, sizeof(hash)), query);
 	if (kind != QUERY_RETRY)
 		ask(homes, ctx, query);
-	else if (shard_bucket(shard, hash)->mode == BUCKET_SINGLE)
+	else if (shard_bucket(shard, hash)->mode == BUCKET_SINGLE) {
+		shard->owner->busy_until = ts_add_ms(ctx->now, BUSY_MS);
 		shard->lead->wanted |= 1ULL << bucket_of(hash) % BUCKETS_PER_SHARD;
+	}
 }
 
 /* Whether a new target may be chosen for flows of the query's bucket. */
--- a/recover.c
+++ b/recover.c
@@ -15,6 +15,7 @@
 {
 	(void)homes;
 	shard->valid = false;
+	shard->owner->busy_until = ts_add_ms(ctx->now, BUSY_MS);
 	shard->next_sync = ctx->now;
 	if (shard->role == SHARD_FOLLOWER)
 		return;
@@ -105,7 +106,10 @@
 static void track_peers(struct homes *homes, struct ctx *ctx, struct shard *shard)
 {
 	struct shard_lead *lead = shard->lead;
+	/* Between visits of a quiet shard a peer may have been heard and be silent again. */
+	bool gap = ts_diff_ms(ctx->now, lead->tracked) > 4 * TIMER_INTERVAL_MS;
 
+	lead->tracked = ctx->now;
 	drop_peers(homes, ctx, shard);
 	for (guint i = 0; i < homes->peers->len; i++) {
 		uint32_t id = g_array_index(homes->peers, uint32_t, i);
@@ -128,7 +132,7 @@
 			lead->copy_cursor = 0;
 		}
 		peer->state = state;
-		if (silent && !peer->silent)
+		if (silent && (!peer->silent || gap))
 			peer->silent_since = ctx->now;
 		peer->silent = silent;
 		if (!peer->answered && !peer->pull_call)
--- a/shard.h
+++ b/shard.h
@@ -45,7 +45,14 @@
 #define SAVED_KEEP_MS	 3000
 #define SYNCS_PER_TIMER	 32
 #define SYNC_INTERVAL_MS 500
-#define REVIEW_MS	 1000
+/*
+ * About VISIT_SHARDS quiet shards are visited in each timer, each of them at least once in
+ * REVIEW_MS; those of a busy service always. At 980 services, visits of all 15,680 shards in every
+ * timer took a fifth of a core.
+ */
+#define VISIT_SHARDS 512
+#define BUSY_MS	     2000
+#define REVIEW_MS    1000
 /* A bucket that was shared for a retry must not settle before the retry was made. */
 #define SHARED_MIN_MS 2000
 #define REFRESH_MS    10000
@@ -108,6 +115,7 @@
 struct shard_lead {
 	uint32_t term;
 	GArray *peers;			     /* struct shard_peer */
+	struct timespec tracked;	     /* last look at the peers */
 	uint32_t changed[BUCKETS_PER_SHARD]; /* epoch of the last change */
 	uint64_t pending; /* shared buckets whose announcement is not yet acknowledged */
 	uint64_t wanted;  /* buckets to share because a retry waits */
@@ -122,7 +130,7 @@
 	int64_t base_seen_ms[BUCKETS_PER_SHARD];
 	int64_t shared_ms[BUCKETS_PER_SHARD]; /* when it became shared */
 	struct timespec next_review;
-	uint64_t targets_version;
+	uint64_t weights_version, targets_version; /* of the last review */
 	uint32_t copy_cursor;
 	bool copying;
 	uint64_t copy_call;
@@ -163,8 +171,10 @@
 struct service_state {
 	struct service_addr addr;
 	struct service *svc;
-	GArray *weights; /* struct weighted_target: eligible ones */
-	uint64_t weights_version;
+	GArray *weights;	  /* struct weighted_target: eligible ones */
+	uint64_t weights_version; /* changes with the content of weights */
+	uint64_t weights_read;	  /* what the weights were read from */
+	struct timespec busy_until;
 	struct shard shards[SHARDS_PER_SERVICE];
 };
 
@@ -207,6 +217,9 @@
 	bool fresh;		  /* routing lease */
 	bool majority;		  /* leases of more than half of the members are fresh */
 	struct timespec last_timer;
+	struct timespec busy_until; /* shards of all services are visited in every timer */
+	uint64_t targets_version;
+	uint32_t turn;	   /* part of the quiet services that is visited */
 	GHashTable *calls; /* uint64_t to struct call */
 	uint64_t next_call;
 	GHashTable *queries; /* flow hash to struct query */
@@ -288,7 +301,7 @@
 					  uint32_t opening_id);
 
 /* assign.c: current targets, epochs, announcements. */
-void weights_refresh(struct homes *homes, struct service_state *st);
+void weights_refresh(struct homes *homes, struct ctx *ctx, struct service_state *st);
 void assign_start(struct homes *homes, struct ctx *ctx, struct shard *shard);
 /* Makes a bucket shared in the epoch of @shard; members hear of it with the next timer. */
 void assign_share(struct shard *shard, struct ctx *ctx, uint32_t b);
--- a/t/bench-capacity.c
+++ b/t/bench-capacity.c
@@ -17,7 +17,7 @@
 #define SEED	      1
 #define ORG_SERVICES  20
 #define SVC_TARGETS   10
-#define WARMUP_MS     15000
+#define WARMUP_MS     60000
 #define MEASURE_MS    5000
 #define CONTROL_MS    30000
 #define GROUP_FLOWS   1000
--- a/target.c
+++ b/target.c
@@ -9,12 +9,6 @@
 /* Configuration arrives object by object; targets of this time are not new to the fleet. */
 #define FIRST_CONFIG_MS 10000
 
-/*
- * A target that was there when this process started, and that nobody reported yet, is used this
- * long. In a large group the reports of others take that time to arrive.
- */
-#define UNKNOWN_GRACE_MS 60000
-
 /* Established flows stay with a target that probes call down while it answers. */
 #define ANSWER_PROVES_USABLE_MS 15000
 
@@ -159,8 +153,11 @@
 		return false;
 	if (state != PEER_TARGET_UNKNOWN)
 		return state == PEER_TARGET_UP;
-	return tgt->svc->nr_up == 0 ||
-	       (!tgt->is_new && ts_diff_ms(now, tgt->added) < UNKNOWN_GRACE_MS);
+	/*
+	 * No word of a target is no evidence against it: news of a large group takes minutes to go
+	 * round, and bad news goes first. Only one that was added later waits for its first probe.
+	 */
+	return tgt->svc->nr_up == 0 || !tgt->is_new;
 }
 
 static void follow_withdrawal(struct targets *tgs, struct ctx *ctx, struct target *tgt)
