replay: divide the driver by job

Change: replay-lines.c has the lines of a trace, replay-report.c the measures and stated outcomes, replay.c the queue of events and the run. Nothing else changes.

Ruled out: dividing by size alone.

--- a/replay-internal.h
+++ b/replay-internal.h
@@ -271,6 +271,18 @@
 	return g_ptr_array_index(sim->services, i);
 }
 
+/* replay-lines.c: lines of a trace */
+/* Sets up what a line without a time names. Returns the fault, or NULL. */
+const char *sim_add_line(struct sim *sim, const struct trace_line *line);
+/* Names of timed lines are checked before the run, so that a wrong trace has no report. */
+bool sim_names_known(struct sim *sim, const struct trace_line *line);
+bool sim_do_line(struct sim *sim, const struct trace_line *line);
+void sim_schedule_lines(struct sim *sim);
+
+/* replay-report.c: measures and stated outcomes */
+void sim_sample(struct sim *sim);
+void sim_write_report(struct sim *sim, const struct replay_options *opts, GString *report);
+
 /* replay-fleet.c: instances, the network between them, the platform */
 int64_t sim_delay(struct sim *sim, uint32_t dc_a, uint32_t dc_b);
 void sim_instance_start(struct sim *sim, uint32_t i);
--- /dev/null
+++ b/replay-report.c
@@ -0,0 +1,237 @@
+#include "replay-internal.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SAMPLE_MS      50
+#define FLOW_SAMPLE_MS 1000
+
+/* Measures. */
+
+static void sample_flows(struct sim *sim)
+{
+	if (sim->now_us < sim->measure_from_us || sim->now_us >= sim->measure_to_us)
+		return;
+	for (uint32_t t = 0; t < sim->targets->len; t++)
+		sim_target(sim, t)->flow_samples += sim_target_flows(sim, t);
+}
+
+void sim_sample(struct sim *sim)
+{
+	sim_check_versions(sim);
+	if (sim->now_us / SIM_US_PER_MS % FLOW_SAMPLE_MS == 0)
+		sample_flows(sim);
+	sim_schedule(sim, SAMPLE_MS * SIM_US_PER_MS, SIM_SAMPLE, 0, 0);
+}
+
+/* Highest to mean over the undisturbed targets of a service, in per mille; the worst service. */
+static uint64_t imbalance(const struct sim *sim, bool openings)
+{
+	uint64_t worst = 0;
+
+	for (uint32_t s = 0; s < sim->services->len; s++) {
+		uint64_t sum = 0, most = 0, nr = 0;
+
+		for (uint32_t t = 0; t < sim->targets->len; t++) {
+			const struct sim_target *tgt = sim_target(sim, t);
+			uint64_t value = openings ? tgt->opened : tgt->flow_samples;
+
+			if (tgt->service != s || tgt->disturbed)
+				continue;
+			sum += value;
+			most = MAX(most, value);
+			nr++;
+		}
+		if (sum)
+			worst = MAX(worst, most * 1000 * nr / sum);
+	}
+	return worst;
+}
+
+static int compare_ms(gconstpointer a, gconstpointer b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static uint64_t percentile(const GArray *sorted, uint32_t permille)
+{
+	if (!sorted->len)
+		return 0;
+	return g_array_index(
+		sorted, uint32_t,
+		MIN(sorted->len - 1, (guint)((uint64_t)sorted->len * permille / 1000)));
+}
+
+static uint64_t ratio(uint64_t part, uint64_t whole)
+{
+	return whole ? part * 1000 / whole : 1000;
+}
+
+static void put(GString *report, const char *key, uint64_t value)
+{
+	g_string_append_printf(report, "%s = %" G_GUINT64_FORMAT "\n", key, value);
+}
+
+static uint64_t versions_behind(const struct sim *sim)
+{
+	uint64_t nr = 0;
+
+	for (guint v = 0; v < sim->versions->len; v++) {
+		const struct sim_version *ver = g_ptr_array_index(sim->versions, v);
+
+		nr += ver->everywhere_us < 0;
+	}
+	return nr;
+}
+
+static void report_instances(const struct sim *sim, const struct counters *sum, GString *report)
+{
+	uint64_t control = 0, pass = 0, flows = 0, pins = 0;
+
+	for (uint32_t i = 0; i < sim->instances->len; i++) {
+		const struct sim_instance *inst = sim_instance(sim, i);
+		uint64_t alive_ms = (uint64_t)MAX(inst->alive_us / SIM_US_PER_MS, 1);
+
+		control = MAX(control, inst->control_bytes * 1000 / alive_ms);
+		pass = MAX(pass, inst->pass_bytes * 1000 / alive_ms);
+		flows = MAX(flows, inst->most_flows);
+		pins = MAX(pins, inst->most_pins);
+	}
+	put(report, "control_bytes_per_s", control);
+	put(report, "pass_bytes_per_s", pass);
+	put(report, "passed_on_permille",
+	    sum->packets_in ? sum->passed_on * 1000 / sum->packets_in : 0);
+	put(report, "flow_entry_bytes", sizeof(struct flow));
+	put(report, "most_cached_flows", flows);
+	put(report, "most_pins", pins);
+	put(report, "platform_calls", sim->m.platform_calls);
+}
+
+static void sum_counters(const struct sim *sim, struct counters *sum)
+{
+	memset(sum, 0, sizeof(*sum));
+	for (uint32_t i = 0; i < sim->instances->len; i++) {
+		const struct counters *c = &sim_instance(sim, i)->counters;
+
+#define COUNTER_SUM(name, help) sum->name += c->name;
+		COUNTER_LIST(COUNTER_SUM)
+#undef COUNTER_SUM
+	}
+}
+
+void sim_write_report(struct sim *sim, const struct replay_options *opts, GString *report)
+{
+	struct sim_measures *m = &sim->m;
+	struct counters sum;
+
+	sum_counters(sim, &sum);
+	g_array_sort(m->answer_ms, compare_ms);
+	g_string_append_printf(report, "policy = %s\n", replay_policies[sim->variant].name);
+	put(report, "seed", opts->seed);
+	put(report, "flows_opened", m->opened);
+	put(report, "flows_established", m->established);
+	put(report, "flows_refused", m->refused);
+	put(report, "flows_unanswered", m->unanswered);
+	put(report, "flows_closed", m->closed);
+	put(report, "broken_flows", m->broken);
+	put(report, "ended_with_target", m->exempt);
+	put(report, "requests", m->requests);
+	put(report, "answered", m->answered);
+	put(report, "answered_permille", ratio(m->answered, m->requests));
+	put(report, "answered_after_permille", ratio(m->answered_after, m->requests_after));
+	put(report, "answer_ms_median", percentile(m->answer_ms, 500));
+	put(report, "answer_ms_99", percentile(m->answer_ms, 990));
+	put(report, "answer_ms_max", percentile(m->answer_ms, 1000));
+	put(report, "run_twice", m->run_twice);
+	put(report, "false_refusals", m->false_refusals);
+	put(report, "crossed", m->crossed);
+	put(report, "wrong_service", m->wrong_service);
+	put(report, "falls", m->falls);
+	put(report, "peak_start_share", m->peak_start_share);
+	put(report, "withdrawn_last_packet_ms", (uint64_t)(m->withdrawn_last_us / SIM_US_PER_MS));
+	put(report, "drained_last_flow_ms", (uint64_t)(m->drained_last_us / SIM_US_PER_MS));
+	put(report, "config_everywhere_ms", (uint64_t)(m->config_max_us / SIM_US_PER_MS));
+	put(report, "config_behind", versions_behind(sim));
+	put(report, "config_reverts", m->config_reverts);
+	put(report, "imbalance_flows", imbalance(sim, false));
+	put(report, "imbalance_openings", imbalance(sim, true));
+	report_instances(sim, &sum, report);
+	if (!opts->counters)
+		return;
+	for (uint32_t type = 0; type < SIM_PEER_TYPES; type++) {
+		uint64_t bytes = 0;
+
+		for (uint32_t i = 0; i < sim->instances->len; i++)
+			bytes += sim_instance(sim, i)->type_bytes[type];
+		g_string_append_printf(report, "bytes_of_type_%u = %" G_GUINT64_FORMAT "\n", type,
+				       bytes);
+	}
+#define COUNTER_PUT(name, help) put(report, "total_" #name, sum.name);
+	COUNTER_LIST(COUNTER_PUT)
+#undef COUNTER_PUT
+}
+
+/* The run. */
+
+/* Stated outcomes. */
+
+static bool find_value(const char *report, const char *key, int64_t *value)
+{
+	size_t len = strlen(key);
+
+	for (const char *p = report; p && *p; p = strchr(p, '\n') ? strchr(p, '\n') + 1 : NULL) {
+		if (strncmp(p, key, len) != 0 || strncmp(p + len, " = ", 3) != 0)
+			continue;
+		*value = g_ascii_strtoll(p + len + 3, NULL, 10);
+		return true;
+	}
+	return false;
+}
+
+static bool holds(int64_t value, const char *op, int64_t bound)
+{
+	switch (op[0]) {
+	case '<':
+		return op[1] ? value <= bound : value < bound;
+	case '>':
+		return op[1] ? value >= bound : value > bound;
+	default:
+		return value == bound;
+	}
+}
+
+int replay_check(const char *report, const char *text, const char *path, GString *faults)
+{
+	static const char *const ops[] = { "=", "<", "<=", ">", ">=", NULL };
+	char **lines = g_strsplit(text, "\n", -1);
+	int failed = 0;
+
+	for (unsigned int n = 0; lines[n] && failed >= 0; n++) {
+		char key[64];
+		char op[3];
+		long bound;
+		int64_t value = 0;
+		char *hash = strchr(lines[n], '#');
+
+		if (hash)
+			*hash = '\0';
+		if (!*g_strstrip(lines[n]))
+			continue;
+		if (sscanf(lines[n], "%63[a-z_0-9] %2[<>=] %ld", key, op, &bound) != 3 ||
+		    !g_strv_contains(ops, op)) {
+			g_string_append_printf(faults, "%s:%u: expected: KEY OP NUMBER\n", path,
+					       n + 1);
+			failed = -EINVAL;
+		} else if (!find_value(report, key, &value) || !holds(value, op, bound)) {
+			g_string_append_printf(faults, "%s:%u: %s is %ld, stated %s %ld\n", path,
+					       n + 1, key, (long)value, op, bound);
+			failed++;
+		}
+	}
+	g_strfreev(lines);
+	return failed;
+}
