t: cover targets of which no word has come

Cause: a target without word for 60 s became ineligible, which was mended with the visits of quiet shards and had no test of its own.

Change: /target/no-word probes one of three targets for 130 s.

Ruled out: a test in a large group; one member shows it.

Conclusion: none further.

--- a/t/test-target.c
+++ b/t/test-target.c
@@ -92,8 +92,8 @@
 	g_free(fix);
 }
 
-/* Passes time; probes are answered with the reports of the fixture. */
-static void run(struct fixture *fix, int64_t ms)
+/* Passes time; probes of the first @nr targets are answered with the reports of the fixture. */
+static void run_probing(struct fixture *fix, int64_t ms, int nr)
 {
 	for (int64_t t = 0; t < ms; t += STEP_MS) {
 		fix->ctx.now = ts_add_ms(fix->ctx.now, STEP_MS);
@@ -102,7 +102,7 @@
 		for (size_t i = 0; i < fix->out.list->len; i++) {
 			const struct action *act = actions_at(&fix->out, i);
 
-			for (int j = 0; act->type == ACTION_PROBE && j < TARGETS; j++) {
+			for (int j = 0; act->type == ACTION_PROBE && j < nr; j++) {
 				if (endpoint_equal(act->target, fix->rep[j].target))
 					targets_health(fix->tgs, &fix->ctx, &fix->rep[j]);
 			}
@@ -113,6 +113,11 @@
 	}
 }
 
+static void run(struct fixture *fix, int64_t ms)
+{
+	run_probing(fix, ms, TARGETS);
+}
+
 static bool eligible(struct fixture *fix, int i)
 {
 	return target_eligible(fix->tgs, fix->index[i]);
@@ -174,6 +179,24 @@
 	fixture_free(fix);
 }
 
+/*
+ * Guards against targets that become ineligible because news of a large group has not come round:
+ * their buckets were shared for nothing.
+ */
+static void test_no_word(void)
+{
+	struct fixture *fix = fixture_new(3);
+	uint64_t version;
+
+	run_probing(fix, 10000, 1);
+	version = targets_version(fix->tgs);
+	run_probing(fix, 120000, 1);
+	g_assert_true(eligible(fix, 0));
+	g_assert_true(eligible(fix, 1));
+	g_assert_cmpuint(targets_version(fix->tgs), ==, version);
+	fixture_free(fix);
+}
+
 /* Guards against a target of another data centre that is used while the own ones have room, or
  * not used when they have none. */
 static void test_spill(void)
@@ -475,6 +498,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_assert_cmpint(sodium_init(), >=, 0);
 	g_test_add_func("/target/health", test_health);
+	g_test_add_func("/target/no-word", test_no_word);
 	g_test_add_func("/target/spill", test_spill);
 	g_test_add_func("/target/slow-start", test_slow_start);
 	g_test_add_func("/target/lying-marker", test_lying_marker);
