park: take the wait of a packet off its deadline

Cause: a packet that waited for a home, for a second holder of its pin or for the group's answer was forwarded with the deadline that it had on arrival, and a saved opening even up to 3 s later. A deadline that has passed must not be forwarded.

Change: parked packets and saved openings lose the time that they waited, and are dropped and counted when nothing is left. The three places in route.c that made the same action share one function.

Ruled out: a timer for each parked packet; calls are bounded already.

--- a/park.c
+++ b/park.c
@@ -27,6 +27,7 @@
 	(*org_parked(homes, org))++;
 	parked = g_new0(struct parked, 1);
 	parked->org = org;
+	parked->since = ctx->now;
 	parked->bytes = g_memdup2(bytes, len);
 	return parked;
 }
@@ -56,6 +57,21 @@
 	return parked;
 }
 
+bool parked_in_time(struct ctx *ctx, struct parked *parked)
+{
+	int64_t waited = ts_diff_ms(ctx->now, parked->since);
+
+	if (parked->pkt.deadline_ms == NO_DEADLINE)
+		return true;
+	if (parked->pkt.deadline_ms <= waited) {
+		ctx->counters->drop_deadline++;
+		return false;
+	}
+	parked->pkt.deadline_ms -= (int32_t)waited;
+	parked->since = ctx->now;
+	return true;
+}
+
 void parked_free(struct homes *homes, struct parked *parked)
 {
 	if (!parked)
--- a/pass.c
+++ b/pass.c
@@ -170,6 +170,8 @@
 		ctx->counters->drop_crossed++;
 		return;
 	}
+	if (!parked_in_time(ctx, call->parked))
+		return;
 	flow = flow_set(homes, ctx, shard, call->hash, target, pin->opening_id, pin_flags(pin));
 	if (flow)
 		route_forward(homes, ctx, shard, flow, &call->parked->pkt);
@@ -294,7 +296,8 @@
 		return;
 	}
 	if (msg) {
-		route_forward(homes, ctx, shard, flow, &call->parked->pkt);
+		if (parked_in_time(ctx, call->parked))
+			route_forward(homes, ctx, shard, flow, &call->parked->pkt);
 		return;
 	}
 	ctx->counters->peer_timeout++;
--- a/query.c
+++ b/query.c
@@ -141,6 +141,8 @@
 	enum decision why;
 	uint32_t target;
 
+	if (!parked_in_time(ctx, query->parked))
+		return;
 	if (query->found && (!flow || (query->trusted && !flow_trusted(flow)))) {
 		target = pin_target(homes, shard, &query->best);
 		if (target != TARGET_NONE)
@@ -267,7 +269,7 @@
 		return;
 	if (flow && flow->opening_id != query->opening_id)
 		flow_remove(homes, ctx, flow);
-	if (query->parked)
+	if (query->parked && parked_in_time(ctx, query->parked))
 		route_packet(homes, ctx, shard, query->hash, &query->parked->pkt);
 }
 
--- a/route.c
+++ b/route.c
@@ -71,6 +71,19 @@
 	flow->flags |= FLOW_COUNTED;
 }
 
+static void forward_bytes(struct ctx *ctx, const struct target_config *tc, int32_t deadline_ms,
+			  const uint8_t *bytes, size_t len)
+{
+	ctx->counters->forwarded++;
+	actions_add(ctx->out,
+		    (struct action){
+			    .type = ACTION_FORWARD,
+			    .target = tc->ep,
+			    .deadline_ms = deadline_ms,
+		    },
+		    bytes, len);
+}
+
 void route_forward(struct homes *homes, struct ctx *ctx, struct shard *shard, struct flow *flow,
 		   const struct packet *pkt)
 {
@@ -86,14 +99,7 @@
 		send_opening(homes, ctx, flow);
 		opening_save(homes, ctx, flow->hash, pkt);
 	}
-	ctx->counters->forwarded++;
-	actions_add(ctx->out,
-		    (struct action){
-			    .type = ACTION_FORWARD,
-			    .target = tc->ep,
-			    .deadline_ms = pkt->deadline_ms,
-		    },
-		    pkt->bytes, pkt->len);
+	forward_bytes(ctx, tc, pkt->deadline_ms, pkt->bytes, pkt->len);
 }
 
 /* Counts what the answer that goes to the caller says of the flow. */
@@ -132,18 +138,19 @@
 		 const struct saved_opening *saved)
 {
 	const struct target_config *tc = config_target_by_index(homes->cfg, flow->target, NULL);
+	int32_t left = saved->deadline_ms;
 
 	if (!tc)
 		return;
+	if (left != NO_DEADLINE) {
+		left -= (int32_t)(flowtab_ms(homes->tab, ctx->now) - saved->saved_ms);
+		if (left <= 0) {
+			ctx->counters->drop_deadline++;
+			return;
+		}
+	}
 	send_opening(homes, ctx, flow);
-	ctx->counters->forwarded++;
-	actions_add(ctx->out,
-		    (struct action){
-			    .type = ACTION_FORWARD,
-			    .target = tc->ep,
-			    .deadline_ms = saved->deadline_ms,
-		    },
-		    saved->bytes, saved->len);
+	forward_bytes(ctx, tc, left, saved->bytes, saved->len);
 }
 
 void route_bare(struct homes *homes, struct ctx *ctx, uint32_t target, const struct packet *pkt)
@@ -154,14 +161,7 @@
 		ctx->counters->drop_no_target++;
 		return;
 	}
-	ctx->counters->forwarded++;
-	actions_add(ctx->out,
-		    (struct action){
-			    .type = ACTION_FORWARD,
-			    .target = tc->ep,
-			    .deadline_ms = pkt->deadline_ms,
-		    },
-		    pkt->bytes, pkt->len);
+	forward_bytes(ctx, tc, pkt->deadline_ms, pkt->bytes, pkt->len);
 }
 
 static void route_single(struct homes *homes, struct ctx *ctx, struct shard *shard, uint64_t hash,
--- a/shard.h
+++ b/shard.h
@@ -69,6 +69,7 @@
 	struct packet pkt;
 	struct answer ans;
 	uint32_t org;
+	struct timespec since;
 	uint8_t *bytes;
 };
 
@@ -289,6 +290,11 @@
 			   const struct packet *pkt);
 struct parked *park_answer(struct homes *homes, struct ctx *ctx, uint32_t org,
 			   const struct answer *ans);
+/*
+ * Takes the time that a packet waited off its deadline. Returns false, and counts the drop, when
+ * the deadline has passed.
+ */
+bool parked_in_time(struct ctx *ctx, struct parked *parked);
 void parked_free(struct homes *homes, struct parked *parked);
 /* Makes a call; takes @parked. Returns its id, or 0 (and frees @parked) when it was not made. */
 uint64_t call_make(struct homes *homes, struct ctx *ctx, struct call call, uint32_t timeout_ms,
--- a/t/test-home.c
+++ b/t/test-home.c
@@ -585,6 +585,40 @@
 		g_assert_true(homes_left(fleet->nodes[id].homes));
 }
 
+/* Guards against a packet that waits for a home and is forwarded after its deadline. */
+static void test_deadline(struct fixture *fix, gconstpointer nodes)
+{
+	static const struct {
+		int32_t deadline_ms;
+		int64_t waited_ms;
+		bool in_time;
+		int32_t left_ms;
+	} cases[] = {
+		{ NO_DEADLINE, 5000, true, NO_DEADLINE },
+		{ 100, 0, true, 100 },
+		{ 100, 40, true, 60 },
+		{ 100, 100, false, 100 },
+		{ 100, 5000, false, 100 },
+	};
+
+	(void)nodes;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct actions acts;
+		struct ctx ctx = fleet_ctx(&fix->fleet, &fix->fleet.nodes[1], &acts);
+		uint64_t dropped = ctx.counters->drop_deadline;
+		struct parked parked = {
+			.pkt = { .deadline_ms = cases[i].deadline_ms },
+			.since = ctx.now,
+		};
+
+		ctx.now = ts_add_ms(ctx.now, cases[i].waited_ms);
+		g_assert_true(parked_in_time(&ctx, &parked) == cases[i].in_time);
+		g_assert_cmpint(parked.pkt.deadline_ms, ==, cases[i].left_ms);
+		g_assert_cmpuint(ctx.counters->drop_deadline, ==, dropped + !cases[i].in_time);
+		actions_release(&acts);
+	}
+}
+
 #define ADD(name, nodes, fn)                                                                       \
 	g_test_add("/home/" name, struct fixture, GUINT_TO_POINTER(nodes), fixture_init, fn,       \
 		   fixture_release)
@@ -609,5 +643,6 @@
 	ADD("udp", 4, test_udp);
 	ADD("bounds", 4, test_bounds);
 	ADD("last-leave", 2, test_last_leave);
+	ADD("deadline", 2, test_deadline);
 	return g_test_run();
 }
