steer: doubt a target when data is unanswered since it was last sent

Cause: test-steer, lost-data-is-no-death. Data sent in the moment of the acceptance was never a reason for doubt, because the acceptance counted as a sign of life after it; and after one successful probe the same data never was again.

Change: a sign of life counts only when it is later than the data, and a repetition starts the time anew. test-steer.c plays 39 scripts of the decision core, in groups that name the promise each guards.

Ruled out: counting the first transmission only (a target that dies after the probe would keep its flow until the caller gives up).

--- a/steer-internal.h
+++ b/steer-internal.h
@@ -32,7 +32,7 @@
 	struct opening *opening;
 	struct timespec started;
 	struct timespec seen;
-	struct timespec asked; /* when unanswered data was first sent */
+	struct timespec asked; /* when unanswered data was last sent */
 	uint32_t opening_seq;
 	uint32_t seq_end; /* end of the data that the caller has sent */
 	uint32_t ack;
--- a/steer.c
+++ b/steer.c
@@ -317,6 +317,7 @@
 		steer_flow_set_busy(flow, true);
 	} else if (flow->busy && ts_diff_ms(now, flow->asked) >= STALL_MIN_MS) {
 		suspicion_stalled(st, flow->target, flow->asked, now);
+		flow->asked = now;
 	}
 }
 
--- a/suspicion.c
+++ b/suspicion.c
@@ -73,7 +73,7 @@
 void suspicion_stalled(struct steer *st, struct reg_target *tgt, struct timespec since,
 		       struct timespec now)
 {
-	if (tgt->trust != TRUST_ALIVE || ts_cmp(tgt->last_alive, since) >= 0)
+	if (tgt->trust != TRUST_ALIVE || ts_cmp(tgt->last_alive, since) > 0)
 		return;
 	if (has_left(tgt, now)) {
 		steer_reset_target(st, tgt, RESET_TARGET_GONE, now);
--- /dev/null
+++ b/t/test-steer.c
@@ -0,0 +1,587 @@
+/*
+ * Guards the promises about flows on the decision core, without a network: each case is a script of
+ * what an instance sees and, behind "=>", what it must send. Names of the groups are the promises
+ * that a case guards.
+ */
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "address.h"
+#include "beliefs.h"
+#include "random.h"
+#include "timeutil.h"
+
+#define SERVICE_IP 0xc6120001u
+#define CALLER_IP  0x64400000u
+#define START_S	   1000
+
+struct fixture {
+	struct steer_out out; /* first member */
+	struct beliefs beliefs;
+	struct seeded_random random;
+	struct timespec now;
+	GString *sent;	   /* what the instance has sent since the last command */
+	GHashTable *bound; /* "$1" to the name that it stands for */
+	unsigned int max_flows;
+	bool running;
+};
+
+static void note(struct fixture *fix, const char *what, const char *whom)
+{
+	if (fix->sent->len)
+		g_string_append(fix->sent, ", ");
+	g_string_append_printf(fix->sent, "%s %s", what, whom);
+}
+
+static void out_forward(struct steer_out *out, const struct reg_target *tgt, uint32_t mark,
+			const uint8_t *bytes, size_t size)
+{
+	(void)bytes;
+	g_assert_cmpuint(size, >, 0);
+	g_assert_cmpuint(mark, !=, 0);
+	note((struct fixture *)out, "forward", tgt->id->str);
+}
+
+static void out_reset(struct steer_out *out, const struct flow_addr *addr, uint32_t seq)
+{
+	char name[16];
+
+	(void)seq;
+	g_snprintf(name, sizeof(name), "c%u", addr->caller.ip - CALLER_IP);
+	note((struct fixture *)out, "reset", name);
+}
+
+static void out_probe(struct steer_out *out, struct reg_target *tgt)
+{
+	note((struct fixture *)out, "probe", tgt->id->str);
+}
+
+static const struct steer_out_ops out_ops = { out_forward, out_reset, out_probe };
+
+static void start_instance(struct fixture *fix)
+{
+	struct beliefs_options opts = {
+		.data_centre = "home",
+		.remote_percent = 200,
+		.cold_gap_ms = 1000,
+		.verify_ms = 50,
+		.max_flows = fix->max_flows,
+		.random = &fix->random.random,
+		.out = &fix->out,
+	};
+
+	if (fix->running)
+		beliefs_release(&fix->beliefs);
+	beliefs_init(&fix->beliefs, &opts);
+	fix->running = true;
+}
+
+static const char *value_of(char **words, const char *key, const char *def)
+{
+	size_t len = strlen(key);
+
+	for (; *words; words++) {
+		if (!strncmp(*words, key, len) && (*words)[len] == '=')
+			return *words + len + 1;
+	}
+	return def;
+}
+
+static bool has_word(char **words, const char *word)
+{
+	for (; *words; words++) {
+		if (!strcmp(*words, word))
+			return true;
+	}
+	return false;
+}
+
+static uint32_t number(char **words, const char *key, uint32_t def)
+{
+	const char *val = value_of(words, key, NULL);
+
+	return val ? (uint32_t)g_ascii_strtoull(val, NULL, 0) : def;
+}
+
+/* target NAME SERVICE DATA_CENTRE [draining] [cold=MS] [born=MS] */
+static void do_target(struct fixture *fix, char **words)
+{
+	struct target_info info = {
+		.id = words[1],
+		.wire_id = 1,
+		.ep = { 0x0a000001, 80 },
+		.service = symbols_intern(&fix->beliefs.symbols, words[2]),
+		.data_centre = symbols_intern(&fix->beliefs.symbols, words[3]),
+		.slots = 2,
+		.draining = has_word(words, "draining"),
+		.cold_ms = number(words, "cold", 0),
+		.born_ms = number(words, "born", 0),
+	};
+
+	beliefs_target(&fix->beliefs, &info, fix->now);
+}
+
+/* config VERSION PORT=SERVICE:WEIGHT[+SERVICE:WEIGHT] ... */
+static void do_config(struct fixture *fix, char **words)
+{
+	struct routing *rt = fix->beliefs.routing;
+
+	if (!routing_begin(rt, g_ascii_strtoull(words[1], NULL, 10))) {
+		note(fix, "config", "refused");
+		return;
+	}
+	for (char **word = words + 2; *word; word++) {
+		struct route_rule rule = { .address = { SERVICE_IP, 0 } };
+		char **halves = g_strsplit(*word, "=", 2);
+		char **parts = g_strsplit(halves[1], "+", 0);
+
+		rule.address.port = (uint16_t)g_ascii_strtoull(halves[0], NULL, 10);
+		for (char **part = parts; *part; part++) {
+			char **pair = g_strsplit(*part, ":", 2);
+			uint32_t weight = (uint32_t)g_ascii_strtoull(pair[1], NULL, 10);
+
+			rule.services[rule.nr_services++] = (struct route_service){
+				symbols_intern(&fix->beliefs.symbols, pair[0]), weight
+			};
+			rule.weight_sum += weight;
+			g_strfreev(pair);
+		}
+		routing_add_route(rt, &rule);
+		g_strfreev(parts);
+		g_strfreev(halves);
+	}
+	beliefs_config_complete(&fix->beliefs, fix->now);
+}
+
+static void addresses(struct caller_packet *pkt, char **words)
+{
+	uint32_t nr = (uint32_t)g_ascii_strtoull(words[1] + 1, NULL, 10);
+
+	pkt->caller = (struct endpoint){ CALLER_IP + nr, (uint16_t)(40000 + nr) };
+	pkt->service =
+		(struct endpoint){ SERVICE_IP, (uint16_t)g_ascii_strtoull(words[2], NULL, 10) };
+}
+
+/* syn CALLER PORT [seq=N]; pkt CALLER PORT [mark=NAME] [mark_port=PORT] [seq= ack= len=] [fin] */
+static void do_packet(struct fixture *fix, char **words)
+{
+	static const uint8_t bytes[31];
+	struct caller_packet pkt = { .bytes = bytes, .size = sizeof(bytes) };
+	const char *mark = value_of(words, "mark", "0");
+	struct reg_target *tgt = registry_by_id(fix->beliefs.registry, mark);
+	struct endpoint service;
+
+	addresses(&pkt, words);
+	service = pkt.service;
+	service.port = (uint16_t)number(words, "mark_port", service.port);
+	pkt.syn = !strcmp(words[0], "syn");
+	pkt.seq = number(words, "seq", pkt.syn ? 100 : 101);
+	pkt.ack = pkt.syn ? 0 : number(words, "ack", 501);
+	pkt.len = (uint16_t)number(words, "len", 0);
+	pkt.fin = has_word(words, "fin");
+	pkt.rst = has_word(words, "rst");
+	pkt.mark = tgt ? registry_mark(tgt, service) : (uint32_t)g_ascii_strtoull(mark, NULL, 0);
+	steer_packet(fix->beliefs.steer, &pkt, fix->now);
+}
+
+static void do_probe(struct fixture *fix, char **words)
+{
+	struct reg_target *tgt = registry_by_id(fix->beliefs.registry, words[1]);
+
+	g_assert_nonnull(tgt);
+	steer_probed(fix->beliefs.steer, tgt,
+		     !strcmp(words[2], "ok")	    ? PROBE_CONNECTED
+		     : !strcmp(words[2], "refused") ? PROBE_REFUSED
+						    : PROBE_TIMEOUT,
+		     fix->now);
+}
+
+/* Time passes in steps of the timer, as in the loop. */
+static void do_wait(struct fixture *fix, char **words)
+{
+	int64_t left = g_ascii_strtoll(words[1], NULL, 10);
+
+	while (left > 0) {
+		int64_t step = MIN(left, steer_due_ms(fix->beliefs.steer, fix->now));
+
+		fix->now = ts_add_ms(fix->now, step);
+		beliefs_timer(&fix->beliefs, fix->now);
+		left -= step;
+	}
+}
+
+static void do_list(struct fixture *fix, char **words)
+{
+	if (!strcmp(words[1], "begin"))
+		beliefs_targets_begin(&fix->beliefs);
+	else
+		beliefs_targets_end(&fix->beliefs, fix->now);
+}
+
+static void do_store(struct fixture *fix, char **words)
+{
+	if (!strcmp(words[1], "lost"))
+		beliefs_store_failed(&fix->beliefs, "timeout", fix->now);
+	else
+		beliefs_heard(&fix->beliefs, BELIEF_TARGETS, fix->now);
+}
+
+static void do_gone(struct fixture *fix, char **words)
+{
+	beliefs_target_gone(&fix->beliefs, words[1], fix->now);
+}
+
+static void do_withdraw(struct fixture *fix, char **words)
+{
+	beliefs_withdraw(&fix->beliefs, words[1], true, fix->now);
+}
+
+static void do_restore(struct fixture *fix, char **words)
+{
+	beliefs_withdraw(&fix->beliefs, words[1], false, fix->now);
+}
+
+static void do_restart(struct fixture *fix, char **words)
+{
+	(void)words;
+	start_instance(fix);
+}
+
+static const struct {
+	const char *name;
+	void (*run)(struct fixture *fix, char **words);
+} commands[] = {
+	{ "target", do_target },     { "config", do_config },	{ "syn", do_packet },
+	{ "pkt", do_packet },	     { "probe", do_probe },	{ "wait", do_wait },
+	{ "list", do_list },	     { "store", do_store },	{ "gone", do_gone },
+	{ "withdraw", do_withdraw }, { "restore", do_restore }, { "restart", do_restart },
+};
+
+/* Replaces "$1" by the name that it was bound to. */
+static char *substitute(struct fixture *fix, const char *line)
+{
+	GString *text = g_string_new(line);
+	GHashTableIter iter;
+	gpointer key;
+	gpointer val;
+
+	g_hash_table_iter_init(&iter, fix->bound);
+	while (g_hash_table_iter_next(&iter, &key, &val))
+		g_string_replace(text, key, val, 0);
+	return g_string_free(text, FALSE);
+}
+
+/* "forward $1" binds $1 when it is not bound yet: the choice may fall on any target. */
+static void bind_choice(struct fixture *fix, const char *expected)
+{
+	char var[3];
+
+	if (strncmp(expected, "forward $", 9) != 0 || strncmp(fix->sent->str, "forward ", 8) != 0)
+		return;
+	g_strlcpy(var, expected + 8, sizeof(var));
+	if (!g_hash_table_contains(fix->bound, var))
+		g_hash_table_insert(fix->bound, g_strdup(var), g_strdup(fix->sent->str + 8));
+}
+
+static void run_line(struct fixture *fix, const char *script, const char *line)
+{
+	char **halves = g_strsplit(line, "=>", 2);
+	char *command = substitute(fix, g_strstrip(halves[0]));
+	char **words = g_strsplit(command, " ", 0);
+	char *expected;
+	bool known = false;
+
+	g_string_truncate(fix->sent, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (!strcmp(words[0], commands[i].name)) {
+			commands[i].run(fix, words);
+			known = true;
+		}
+	}
+	g_assert_true(known);
+	if (halves[1])
+		bind_choice(fix, g_strstrip(halves[1]));
+	expected = substitute(fix, halves[1] ? halves[1] : "");
+	if (strcmp(fix->sent->str, expected) != 0)
+		g_error("in \"%s\"\n  line \"%s\" sent \"%s\", expected \"%s\"", script, line,
+			fix->sent->str, expected);
+	g_free(expected);
+	g_strfreev(words);
+	g_free(command);
+	g_strfreev(halves);
+}
+
+struct script {
+	const char *name;
+	const char *lines;
+	unsigned int max_flows; /* 0 for plenty */
+};
+
+static void run_script(gconstpointer data)
+{
+	const struct script *script = data;
+	char **lines = g_strsplit(script->lines, "\n", 0);
+	struct fixture fix = {
+		.out = { &out_ops },
+		.now = { .tv_sec = START_S },
+		.sent = g_string_new(NULL),
+		.bound = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+		.max_flows = script->max_flows ? script->max_flows : 1000,
+	};
+
+	seeded_random_init(&fix.random, 1);
+	start_instance(&fix);
+	for (char **line = lines; *line; line++) {
+		if (**line)
+			run_line(&fix, script->name, *line);
+	}
+	beliefs_release(&fix.beliefs);
+	g_string_free(fix.sent, TRUE);
+	g_hash_table_unref(fix.bound);
+	g_strfreev(lines);
+}
+
+#define ONE_TARGET                                                                                 \
+	"target i-a web home\n"                                                                    \
+	"config 1 443=web:1\n"
+#define TWO_TARGETS                                                                                \
+	"target i-a web home\n"                                                                    \
+	"target i-b web home\n"                                                                    \
+	"config 1 443=web:1\n"
+/* A flow of c1 that is open at $1. */
+#define OPEN_FLOW                                                                                  \
+	TWO_TARGETS                                                                                \
+	"syn c1 443 => forward $1\n"                                                               \
+	"wait 5\n"                                                                                 \
+	"pkt c1 443 mark=$1 => forward $1\n"
+
+static const struct script scripts[] = {
+	/* An established flow reaches its own target on any instance. */
+	{ "flow/mark-names-the-target", OPEN_FLOW "pkt c1 443 mark=$1 len=100 => forward $1\n" },
+	{ "flow/restarted-instance",
+	  OPEN_FLOW "restart\n" TWO_TARGETS "pkt c1 443 mark=$1 len=100 => forward $1\n" },
+	{ "flow/mark-of-another-target-on-an-open-flow",
+	  "target i-a web home\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\n"
+	  "pkt c1 443 mark=i-a => forward i-a\n"
+	  "target i-b web home\n"
+	  "pkt c1 443 mark=i-b len=10 => forward i-a\n" },
+	{ "flow/caller-copies-stay-while-the-target-lives",
+	  TWO_TARGETS "syn c1 443 => forward $1\n"
+		      "wait 50 => probe $1\n"
+		      "wait 5\n"
+		      "probe $1 ok\n"
+		      "wait 145\n"
+		      "syn c1 443 => forward $1\n" },
+	{ "flow/late-copy-of-an-open-flow", OPEN_FLOW "syn c1 443 => forward $1\n" },
+	{ "flow/draining-target-keeps-its-flow",
+	  OPEN_FLOW "target $1 web home draining\n"
+		    "pkt c1 443 mark=$1 len=100 => forward $1\n" },
+	{ "flow/withdrawn-data-centre-keeps-its-flow",
+	  OPEN_FLOW "withdraw home\n"
+		    "pkt c1 443 mark=$1 len=100 => forward $1\n" },
+	{ "flow/new-weights-keep-the-flow",
+	  OPEN_FLOW "config 2 443=web:0+other:1\n"
+		    "pkt c1 443 mark=$1 len=100 => forward $1\n" },
+	{ "flow/unlisted-target-that-answers-keeps-its-flow",
+	  OPEN_FLOW "gone $1 => probe $1\n"
+		    "probe $1 ok\n"
+		    "pkt c1 443 mark=$1 len=100 => forward $1\n" },
+	{ "flow/lost-data-is-no-death",
+	  OPEN_FLOW "pkt c1 443 mark=$1 len=100 => forward $1\n"
+		    "wait 200\n"
+		    "pkt c1 443 mark=$1 len=100 => probe $1, forward $1\n"
+		    "wait 3\n"
+		    "probe $1 ok\n"
+		    "wait 400\n"
+		    "pkt c1 443 mark=$1 len=100 => forward $1\n"
+		    "wait 800\n"
+		    "pkt c1 443 mark=$1 len=100 => probe $1, forward $1\n"
+		    "probe $1 timeout => probe $1\n"
+		    "probe $1 ok\n" },
+	{ "flow/sign-of-life-of-another-flow-clears",
+	  ONE_TARGET "syn c1 443 => forward i-a\n"
+		     "pkt c1 443 mark=i-a len=10 => forward i-a\n"
+		     "syn c2 443 => forward i-a\n"
+		     "wait 20\n"
+		     "pkt c2 443 mark=i-a => forward i-a\n"
+		     "wait 180\n"
+		     "pkt c1 443 mark=i-a len=10 => forward i-a\n" },
+	{ "flow/table-full-goes-by-the-mark",
+	  ONE_TARGET "syn c1 443 => forward i-a\n"
+		     "pkt c1 443 mark=i-a => forward i-a\n"
+		     "syn c2 443 => forward i-a\n"
+		     "pkt c2 443 mark=i-a => forward i-a\n"
+		     "pkt c1 443 mark=i-a len=5 => forward i-a\n",
+	  1 },
+
+	/* A flow whose target is dead ends, so that the caller opens again. */
+	{ "dead/two-failed-probes-reset-all-flows-of-the-target",
+	  ONE_TARGET "syn c1 443 => forward i-a\n"
+		     "pkt c1 443 mark=i-a => forward i-a\n"
+		     "syn c2 443 => forward i-a\n"
+		     "pkt c2 443 mark=i-a => forward i-a\n"
+		     "wait 10\n"
+		     "pkt c1 443 mark=i-a len=10 => forward i-a\n"
+		     "wait 200\n"
+		     "pkt c1 443 mark=i-a len=10 => probe i-a, forward i-a\n"
+		     "probe i-a timeout => probe i-a\n"
+		     "probe i-a timeout => reset c1, reset c2\n"
+		     "pkt c1 443 mark=i-a len=10 => reset c1\n"
+		     "syn c3 443 => reset c3\n" },
+	{ "dead/opening-moves-after-one-failed-probe",
+	  "target i-a web home\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\n"
+	  "target i-b web home\n"
+	  "wait 50 => probe i-a\n"
+	  "probe i-a refused => forward i-b, probe i-a\n"
+	  "pkt c1 443 mark=i-b => forward i-b\n" },
+	{ "dead/answers-again", ONE_TARGET "syn c1 443 => forward i-a\n"
+					   "wait 50 => probe i-a\n"
+					   "probe i-a timeout => probe i-a\n"
+					   "probe i-a timeout\n"
+					   "syn c2 443 => reset c2\n"
+					   "wait 1000 => probe i-a\n"
+					   "probe i-a ok\n"
+					   "syn c3 443 => forward i-a\n" },
+	{ "dead/restarted-under-its-identifier", "target i-a web home born=1\nconfig 1 443=web:1\n"
+						 "syn c1 443 => forward i-a\n"
+						 "pkt c1 443 mark=i-a => forward i-a\n"
+						 "target i-a web home born=2 => reset c1\n"
+						 "syn c2 443 => forward i-a\n" },
+	{ "dead/left-and-its-address-taken",
+	  ONE_TARGET "syn c1 443 => forward i-a\n"
+		     "pkt c1 443 mark=i-a => forward i-a\n"
+		     "gone i-a => probe i-a\n"
+		     "probe i-a ok\n"
+		     "wait 2600\n"
+		     "pkt c1 443 mark=i-a len=10 => forward i-a\n"
+		     "wait 200\n"
+		     "pkt c1 443 mark=i-a len=10 => reset c1, forward i-a\n" },
+
+	/* No packet crosses into another service. */
+	{ "route/mark-of-another-service",
+	  "target i-a web home\ntarget i-b other home\nconfig 1 443=web:1 444=other:1\n"
+	  "pkt c1 443 mark=i-a => forward i-a\n"
+	  "pkt c2 444 mark=i-a mark_port=443\n"
+	  "pkt c3 443 mark=0x12345678\n"
+	  "pkt c4 443 mark=0\n" },
+	{ "route/only-services-of-the-route",
+	  "target i-a web home\ntarget i-b other home\nconfig 1 443=web:1 444=other:1\n"
+	  "syn c1 443 => forward i-a\nsyn c2 444 => forward i-b\n"
+	  "syn c3 443 => forward i-a\nsyn c4 444 => forward i-b\n" },
+	{ "route/weight-0-takes-nothing",
+	  "target i-a web home\ntarget i-b other home\nconfig 1 443=web:1+other:0\n"
+	  "syn c1 443 => forward i-a\nsyn c2 443 => forward i-a\nsyn c3 443 => forward i-a\n"
+	  "gone i-a => probe i-a\n"
+	  "syn c4 443 => reset c4\n" },
+
+	/* An accepted change holds and never reverts. */
+	{ "config/older-version-is-refused",
+	  "target i-a web home\nconfig 5 443=web:1\n"
+	  "config 4 444=web:1 => config refused\n"
+	  "syn c1 443 => forward i-a\nsyn c2 444 => reset c2\n" },
+	{ "config/unknown-address-is-refused-at-once", ONE_TARGET "syn c1 80 => reset c1\n" },
+	{ "config/withdrawn-route-ends-its-flows", OPEN_FLOW "config 2 444=web:1 => reset c1\n"
+							     "syn c2 443 => reset c2\n" },
+	{ "config/flow-of-a-newer-configuration-passes",
+	  "target i-a web home\nconfig 1 444=web:1\n"
+	  "pkt c1 443 mark=i-a len=10 => forward i-a\n" },
+	{ "config/route-that-comes-back",
+	  "target i-a web home\nconfig 1 443=web:1\nconfig 2 444=web:1\nconfig 3 443=web:1\n"
+	  "syn c1 443 => forward i-a\n" },
+
+	/* Targets that leave, and data centres that are withdrawn, get no new flows. */
+	{ "drain/no-opening-to-a-draining-target",
+	  "target i-a web home\ntarget i-b web away\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\n"
+	  "target i-a web home draining\n"
+	  "syn c2 443 => forward i-b\n" },
+	{ "drain/copy-of-an-opening-goes-elsewhere",
+	  "target i-a web home\ntarget i-b web away\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\n"
+	  "target i-a web home draining\n"
+	  "wait 40\n"
+	  "syn c1 443 => probe i-a, forward i-b\n" },
+	{ "drain/last-target-draining-refuses",
+	  "target i-a web home draining\nconfig 1 443=web:1\nsyn c1 443 => reset c1\n" },
+	{ "evac/no-opening-into-a-withdrawn-data-centre",
+	  "target i-a web home\ntarget i-b web away\nconfig 1 443=web:1\n"
+	  "withdraw home\n"
+	  "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\n"
+	  "restore home\n"
+	  "syn c3 443 => forward i-a\n" },
+	{ "evac/everything-withdrawn-refuses-at-once",
+	  ONE_TARGET "withdraw home\nsyn c1 443 => reset c1\n" },
+
+	/* Targets that have just started are not overloaded. */
+	{ "cold/warm-targets-go-first",
+	  "target i-a web home cold=2000\ntarget i-b web away\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\nsyn c3 443 => forward i-b\n"
+	  "wait 2000 => probe i-b\n"
+	  "syn c4 443 => forward i-a\n" },
+	{ "cold/one-opening-in-each-gap", "target i-a web home cold=5000\nconfig 1 443=web:1\n"
+					  "syn c1 443 => forward i-a\n"
+					  "syn c2 443 => reset c2\n"
+					  "wait 1000 => probe i-a\n"
+					  "probe i-a ok\n"
+					  "syn c3 443 => forward i-a\n" },
+
+	/* Entries that lapse while the store is away name living targets. */
+	{ "store/lapsed-entry-keeps-taking-openings",
+	  ONE_TARGET "store lost\nwait 3000\nstore back\n"
+		     "gone i-a\n"
+		     "syn c1 443 => forward i-a\n"
+		     "pkt c1 443 mark=i-a => forward i-a\n"
+		     "wait 1500\n"
+		     "target i-a web home\n"
+		     "wait 3000\n"
+		     "syn c2 443 => forward i-a\n" },
+	{ "store/missing-for-longer-is-gone", ONE_TARGET "store lost\nwait 3000\nstore back\n"
+							 "gone i-a\n"
+							 "wait 2600\n"
+							 "syn c1 443 => reset c1\n" },
+	{ "store/list-after-an-outage", TWO_TARGETS "store lost\nwait 3000\nstore back\n"
+						    "list begin\ntarget i-b web home\nlist end\n"
+						    "gone i-b\n"
+						    "syn c1 443 => forward $1\n"
+						    "wait 2600 => probe $1\n"
+						    "syn c2 443 => reset c2\n" },
+	{ "store/list-without-an-outage",
+	  TWO_TARGETS "list begin\ntarget i-b web home\nlist end\n"
+		      "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\n" },
+
+	/* Load: targets take flows in turn, those of the own data centre first. */
+	{ "place/least-open-flows",
+	  TWO_TARGETS "syn c1 443 => forward $1\nsyn c2 443 => forward $2\n"
+		      "pkt c1 443 mark=$1 => forward $1\npkt c2 443 mark=$2 => forward $2\n"
+		      "pkt c1 443 mark=$1 fin => forward $1\n"
+		      "syn c3 443 => forward $1\n" },
+	{ "place/own-data-centre-first-until-twice-as-loaded",
+	  "target i-a web home\ntarget i-b web away\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\n"
+	  "pkt c1 443 mark=i-a => forward i-a\n"
+	  "pkt c1 443 mark=i-a fin => forward i-a\n"
+	  "syn c2 443 => forward i-a\n"
+	  "pkt c2 443 mark=i-a => forward i-a\n"
+	  "pkt c9 443 mark=i-a => forward i-a\n"
+	  "pkt c8 443 mark=i-a => forward i-a\n"
+	  "syn c3 443 => forward i-b\n" },
+	{ "place/second-service-when-the-first-has-no-target",
+	  "target i-b other home\nconfig 1 443=web:100+other:1\n"
+	  "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\n" },
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		char *path = g_strconcat("/steer/", scripts[i].name, NULL);
+
+		g_test_add_data_func(path, &scripts[i], run_script);
+		g_free(path);
+	}
+	return g_test_run();
+}
