--- a/beliefs.c
+++ b/beliefs.c
@@ -155,6 +155,7 @@
 		registry_each(bel->registry, keep_if_missing, &walk);
 	registry_list_end(bel->registry, now);
 	bel->known[BELIEF_TARGETS] = true;
+	steer_set_listed(bel->steer);
 }
 
 void beliefs_config_complete(struct beliefs *bel, struct timespec now)
--- a/steer-internal.h
+++ b/steer-internal.h
@@ -56,6 +56,7 @@
 	GPtrArray *watched; /* struct reg_target that are suspected or dead */
 	struct registry_listener listener;
 	struct timespec next_sweep;
+	bool listed;
 	struct timespec others_verified;
 	struct histogram accept_times;
 };
--- a/steer.c
+++ b/steer.c
@@ -491,10 +491,12 @@
 {
 	struct steer *st = (struct steer *)((char *)listener - offsetof(struct steer, listener));
 
-	decision_log(DECISION_TARGET, now,
-		     "target=%s belief=%s was=%s reborn=%d flows=%u silent_ms=%lld", tgt->id->str,
-		     target_phase_name(tgt->phase), target_phase_name(before), reborn,
-		     tgt->open_flows, (long long)target_silent_ms(tgt, now));
+	/* The first list is told by its size, not target by target. */
+	if (st->listed)
+		decision_log(DECISION_TARGET, now,
+			     "target=%s belief=%s was=%s reborn=%d flows=%u silent_ms=%lld",
+			     tgt->id->str, target_phase_name(tgt->phase), target_phase_name(before),
+			     reborn, tgt->open_flows, (long long)target_silent_ms(tgt, now));
 	if (reborn) {
 		suspicion_forget(st, tgt);
 		steer_reset_target(st, tgt, RESET_TARGET_REBORN, now);
@@ -541,6 +543,11 @@
 	st->opts.verify_ms = verify_ms;
 }
 
+void steer_set_listed(struct steer *st)
+{
+	st->listed = true;
+}
+
 uint32_t steer_flows(const struct steer *st)
 {
 	return g_hash_table_size(st->flows);
--- a/steer.h
+++ b/steer.h
@@ -107,6 +107,9 @@
 /* For openings from now on. */
 void steer_set_verify(struct steer *st, uint32_t verify_ms);
 
+/* The first list of targets is complete: each change of a target is logged from now on. */
+void steer_set_listed(struct steer *st);
+
 uint32_t steer_flows(const struct steer *st);
 const struct histogram *steer_accept_times(const struct steer *st);
 
