--- a/beliefs.c
+++ b/beliefs.c
@@ -195,6 +195,12 @@
 	decision_log(DECISION_STORE, now, "store=regained");
 }
 
+/* -1 when the store has never answered about @kind. */
+static long long age_ms(const struct beliefs *bel, enum belief_kind kind, struct timespec now)
+{
+	return bel->known[kind] ? (long long)ts_diff_ms(now, bel->heard[kind]) : -1;
+}
+
 void beliefs_store_failed(struct beliefs *bel, const char *reason, struct timespec now)
 {
 	bel->counters.store_errors++;
@@ -203,8 +209,7 @@
 	bel->store_lost = true;
 	decision_log(DECISION_STORE, now,
 		     "store=lost reason=\"%s\" targets_age_ms=%lld config_age_ms=%lld", reason,
-		     (long long)ts_diff_ms(now, bel->heard[BELIEF_TARGETS]),
-		     (long long)ts_diff_ms(now, bel->heard[BELIEF_CONFIG]));
+		     age_ms(bel, BELIEF_TARGETS, now), age_ms(bel, BELIEF_CONFIG, now));
 }
 
 void beliefs_malformed(struct beliefs *bel, const char *kind, const char *name, const char *why,
