--- a/Makefile
+++ b/Makefile
@@ -22,19 +22,22 @@
 TEST_SRCS = $(wildcard t/test-*.c)
 BENCH_SRCS = $(wildcard t/bench-*.c)
 HELPER_SRCS = $(wildcard t/helper/*.c)
+WORLD_SRCS = $(wildcard t/world/*.c)
 
 FUZZ_SRCS = $(wildcard t/fuzz-*.c)
 
 LIB_OBJS = $(LIB_SRCS:%.c=$(BUILD)/%.o) $(GEN_SRCS:%.c=$(BUILD)/%.o)
 MAIN_OBJS = $(MAIN_SRC:%.c=$(BUILD)/%.o) $(BUILTIN_SRCS:%.c=$(BUILD)/%.o)
 HELPER_OBJS = $(HELPER_SRCS:%.c=$(BUILD)/%.o)
+WORLD_OBJS = $(WORLD_SRCS:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRCS:t/%.c=$(BUILD)/t/%)
 
-OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(BENCH_SRCS) $(HELPER_SRCS)
+OUR_SRCS = $(MAIN_SRC) $(LIB_SRCS) $(BUILTIN_SRCS) $(TEST_SRCS) $(BENCH_SRCS) $(HELPER_SRCS) \
+	$(WORLD_SRCS)
 OUR_FILES = $(OUR_SRCS) $(FUZZ_SRCS) t/plain-fuzzer.c \
-	$(wildcard *.h builtin/*.h platform/*.h t/*.h t/helper/*.h)
+	$(wildcard *.h builtin/*.h platform/*.h t/*.h t/helper/*.h t/world/*.h)
 
-all: $(BIN) $(if $(HELPER_SRCS),$(BUILD)/standin)
+all: $(BIN) $(BUILD)/standin $(BUILD)/world
 
 $(BIN): $(MAIN_OBJS) $(BUILD)/libjujubestage.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
@@ -46,6 +49,10 @@
 $(BUILD)/standin: $(HELPER_OBJS) $(BUILD)/libjujubestage.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+# The emulator of what surrounds instances that steer by marks; it links nothing of the product.
+$(BUILD)/world: $(WORLD_OBJS)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/t/test-%: $(BUILD)/t/test-%.o $(BUILD)/libjujubestage.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
