--- a/beliefs.c
+++ b/beliefs.c
@@ -27,6 +27,7 @@
 void beliefs_init(struct beliefs *bel, const struct beliefs_options *opts)
 {
 	struct placing_options placing = {
+		.policy = opts->placing,
 		.remote_percent = opts->remote_percent,
 		.cold_gap_ms = opts->cold_gap_ms,
 		.random = opts->random,
--- a/beliefs.h
+++ b/beliefs.h
@@ -38,6 +38,7 @@
 
 struct beliefs_options {
 	const char *data_centre;
+	enum placing_policy placing;
 	uint32_t remote_percent;
 	uint32_t cold_gap_ms;
 	uint32_t verify_ms;
--- a/builtin/edge.c
+++ b/builtin/edge.c
@@ -2,6 +2,7 @@
 
 #include <argtable2.h>
 #include <errno.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,11 +16,12 @@
 
 static int serve(struct edge_settings *set, const char *path)
 {
+	struct seeded_random random;
 	struct edge_options opts = {
 		.set = set,
 		.settings_path = path,
 		.clock = system_clock(),
-		.random = system_random(),
+		.random = &random.random,
 		.wire = &echo_wire,
 	};
 	struct store_options store_opts = {
@@ -31,6 +33,9 @@
 	struct edge *edge = NULL;
 	int ret;
 
+	/* A stream of its own: a call of the system for each number would cost more than the
+	 * choice. */
+	seeded_random_init(&random, (uint64_t)randombytes_random() << 32 | randombytes_random());
 	if (log_init(set->log_level->str, set->name->str)) {
 		fprintf(stderr, "jujubestage: unknown log level \"%s\"\n", set->log_level->str);
 		return EXIT_USAGE;
--- a/edge-settings.c
+++ b/edge-settings.c
@@ -1,6 +1,7 @@
 #include "edge-settings.h"
 
 #include <errno.h>
+#include <string.h>
 
 #include "address.h"
 #include "proto/edge-gen.h"
@@ -23,6 +24,13 @@
 	g_string_free(set->log_level, TRUE);
 }
 
+static enum placing_policy parse_placing(const char *name)
+{
+	if (!strcmp(name, "two-choices"))
+		return PLACING_TWO_CHOICES;
+	return !strcmp(name, "rendezvous") ? PLACING_RENDEZVOUS : PLACING_LEAST_LOADED;
+}
+
 /* The checks ran before, so every key is there with its type and range. */
 static void fill(struct edge_settings *set, json_object *root)
 {
@@ -35,6 +43,7 @@
 	endpoint_parse(json_str(root, "store"), &set->store);
 	set->stop_s = (uint32_t)json_num(root, "stop_s");
 	set->verify_ms = (uint32_t)json_num(root, "verify_ms");
+	set->placing = parse_placing(json_str(root, "placing"));
 	set->remote_percent = (uint32_t)json_num(root, "remote_percent");
 	set->cold_gap_ms = (uint32_t)json_num(root, "cold_gap_ms");
 	set->watch_pause_ms = (uint32_t)json_num(root, "watch_pause_ms");
--- a/edge-settings.h
+++ b/edge-settings.h
@@ -6,6 +6,7 @@
 
 #include "fault.h"
 #include "packet.h"
+#include "placing.h"
 
 struct edge_settings {
 	GString *name;
@@ -17,6 +18,7 @@
 	struct endpoint store;
 	uint32_t stop_s;
 	uint32_t verify_ms;
+	enum placing_policy placing;
 	uint32_t remote_percent;
 	uint32_t cold_gap_ms;
 	uint32_t watch_pause_ms;
--- a/edge.c
+++ b/edge.c
@@ -456,6 +456,7 @@
 	struct edge *edge = g_new0(struct edge, 1);
 	struct beliefs_options beliefs = {
 		.data_centre = opts->set->data_centre->str,
+		.placing = opts->set->placing,
 		.remote_percent = opts->set->remote_percent,
 		.cold_gap_ms = opts->set->cold_gap_ms,
 		.verify_ms = opts->set->verify_ms,
--- a/placing.c
+++ b/placing.c
@@ -1,5 +1,8 @@
 #include "placing.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "timeutil.h"
 
 /* Order of preference; a worse tier is used only when the better ones are empty. */
@@ -12,6 +15,8 @@
 
 /* Weight of a request in progress against an open flow: most open flows are idle. */
 #define BUSY_WEIGHT 2
+/* Leaves room for the factor of other data centres. */
+#define RANK_SHIFT 16
 
 void placing_init(struct placing *pl, const struct placing_options *opts)
 {
@@ -58,21 +63,31 @@
 	return tgt->trust == TRUST_SUSPECTED ? TIER_SUSPECTED : TIER_WARM;
 }
 
-/* Lower is better: flows and requests for each slot, more for targets in other data centres. */
-static uint64_t load_of(const struct placing *pl, const struct reg_target *tgt)
+/* Rank of a target for a flow, the same on all instances. */
+static uint64_t rank_of(const struct placing_request *req, const struct reg_target *tgt)
+{
+	return XXH64(&req->flow_digest, sizeof(req->flow_digest), tgt->digest) >> RANK_SHIFT;
+}
+
+/* Lower is better: flows and requests for each slot, or a rank that only the hash decides. */
+static uint64_t cost_of(const struct placing *pl, const struct placing_request *req,
+			const struct reg_target *tgt)
 {
-	uint64_t load =
-		(1000ull * (tgt->open_flows + 1 + BUSY_WEIGHT * tgt->busy_flows)) / tgt->slots;
+	uint64_t cost;
 
+	if (pl->opts.policy == PLACING_RENDEZVOUS)
+		cost = rank_of(req, tgt);
+	else
+		cost = 1000ull * (tgt->open_flows + 1 + BUSY_WEIGHT * tgt->busy_flows) / tgt->slots;
 	if (tgt->data_centre != pl->opts.data_centre)
-		load = load * pl->opts.remote_percent / 100;
-	return load;
+		cost = cost * pl->opts.remote_percent / 100;
+	return cost;
 }
 
 struct candidate {
 	struct reg_target *tgt;
 	enum tier tier;
-	uint64_t load;
+	uint64_t cost;
 	uint32_t ties;
 };
 
@@ -80,34 +95,94 @@
 		     struct candidate *best)
 {
 	enum tier tier = tier_of(pl, req, tgt);
-	uint64_t load;
+	uint64_t cost;
 
 	if (tier == TIER_NONE || tier > best->tier)
 		return;
-	load = load_of(pl, tgt);
-	if (tier == best->tier && load > best->load)
+	cost = cost_of(pl, req, tgt);
+	if (tier == best->tier && cost > best->cost)
 		return;
-	if (tier == best->tier && load == best->load) {
+	if (tier == best->tier && cost == best->cost) {
 		/* Each of n equal candidates is kept with probability 1/n. */
 		if (random_below(pl->opts.random, ++best->ties))
 			return;
 		best->tgt = tgt;
 		return;
 	}
-	*best = (struct candidate){ .tgt = tgt, .tier = tier, .load = load, .ties = 1 };
+	*best = (struct candidate){ .tgt = tgt, .tier = tier, .cost = cost, .ties = 1 };
 }
 
-static struct reg_target *choose_of_service(struct placing *pl, const GPtrArray *list,
-					    const struct placing_request *req, enum tier *tier)
+static struct reg_target *choose_among(struct placing *pl, const GPtrArray *list,
+				       const struct placing_request *req, enum tier *tier)
 {
 	struct candidate best = { .tier = TIER_NONE };
 
-	for (guint i = 0; list && i < list->len; i++)
+	for (guint i = 0; i < list->len; i++)
 		consider(pl, req, g_ptr_array_index(list, i), &best);
 	*tier = best.tier;
 	return best.tgt;
 }
 
+/* The two targets that rank first for a flow among those that were offered. */
+struct draw {
+	struct reg_target *picks[2];
+	uint64_t ranks[2];
+};
+
+static void offer(struct draw *draw, struct reg_target *tgt, uint64_t rank)
+{
+	if (!draw->picks[0] || rank < draw->ranks[0]) {
+		draw->picks[1] = draw->picks[0];
+		draw->ranks[1] = draw->ranks[0];
+		draw->picks[0] = tgt;
+		draw->ranks[0] = rank;
+	} else if (!draw->picks[1] || rank < draw->ranks[1]) {
+		draw->picks[1] = tgt;
+		draw->ranks[1] = rank;
+	}
+}
+
+/*
+ * Two of the own data centre and one elsewhere, or two elsewhere. With the least loaded of all, a
+ * target that is new, or whose flows have just ended because it is failing, would get every opening
+ * of every instance.
+ */
+static struct reg_target *choose_of_two(struct placing *pl, const GPtrArray *list,
+					const struct placing_request *req, enum tier *tier)
+{
+	struct candidate best = { .tier = TIER_NONE };
+	struct draw own = { 0 };
+	struct draw other = { 0 };
+
+	for (guint i = 0; i < list->len; i++) {
+		struct reg_target *tgt = g_ptr_array_index(list, i);
+
+		if (tier_of(pl, req, tgt) == TIER_WARM)
+			offer(tgt->data_centre == pl->opts.data_centre ? &own : &other, tgt,
+			      rank_of(req, tgt));
+	}
+	for (int i = 0; i < 2 && own.picks[i]; i++)
+		consider(pl, req, own.picks[i], &best);
+	for (int i = 0; i < (own.picks[0] ? 1 : 2) && other.picks[i]; i++)
+		consider(pl, req, other.picks[i], &best);
+	*tier = best.tier;
+	return best.tgt;
+}
+
+static struct reg_target *choose_of_service(struct placing *pl, const GPtrArray *list,
+					    const struct placing_request *req, enum tier *tier)
+{
+	struct reg_target *tgt = NULL;
+
+	*tier = TIER_NONE;
+	if (!list)
+		return NULL;
+	if (pl->opts.policy == PLACING_TWO_CHOICES)
+		tgt = choose_of_two(pl, list, req, tier);
+	/* Without a warm target, all are looked at. */
+	return tgt ? tgt : choose_among(pl, list, req, tier);
+}
+
 /* The service that a weighted draw falls on. */
 static size_t draw_service(const struct placing *pl, const struct route_rule *rule)
 {
--- a/placing.h
+++ b/placing.h
@@ -12,7 +12,15 @@
 
 #define PLACING_MAX_TRIED 4
 
+/* How the target is chosen among those of the best tier. */
+enum placing_policy {
+	PLACING_LEAST_LOADED,
+	PLACING_TWO_CHOICES, /* the less loaded of the two that the hash ranks first */
+	PLACING_RENDEZVOUS,  /* by a hash of flow and target: the same on all instances */
+};
+
 struct placing_options {
+	enum placing_policy policy;
 	struct registry *registry;
 	uint32_t data_centre; /* symbol of the instance's own */
 	/* A target elsewhere counts as this many times as loaded, in percent; 100 for no
@@ -32,6 +40,7 @@
 	struct timespec now;
 	struct reg_target *tried[PLACING_MAX_TRIED]; /* not to be chosen again */
 	size_t nr_tried;
+	uint64_t flow_digest; /* ranks targets for the flow */
 };
 
 void placing_init(struct placing *pl, const struct placing_options *opts);
--- a/steer-flow.c
+++ b/steer-flow.c
@@ -9,15 +9,19 @@
 /* A caller gives up an opening after 1.4 s. */
 #define OPENING_KEEP_MS 2000
 
-static guint addr_hash(gconstpointer key)
+uint64_t steer_flow_digest(const struct flow_addr *addr)
 {
-	const struct flow_addr *addr = key;
 	uint64_t words[2] = {
 		(uint64_t)addr->caller.ip << 16 | addr->caller.port,
 		(uint64_t)addr->service.ip << 16 | addr->service.port,
 	};
 
-	return (guint)XXH3_64bits(words, sizeof(words));
+	return XXH3_64bits(words, sizeof(words));
+}
+
+static guint addr_hash(gconstpointer key)
+{
+	return (guint)steer_flow_digest(key);
 }
 
 static gboolean addr_equal(gconstpointer a, gconstpointer b)
--- a/steer-internal.h
+++ b/steer-internal.h
@@ -63,6 +63,7 @@
 
 /* Flow table; steer-flow.c. */
 void steer_flows_init(struct steer *st);
+uint64_t steer_flow_digest(const struct flow_addr *addr);
 struct steer_flow *steer_flow_find(const struct steer *st, const struct flow_addr *addr);
 /* NULL when the table is full of flows that cannot be forgotten. */
 struct steer_flow *steer_flow_add(struct steer *st, const struct flow_addr *addr,
--- a/steer.c
+++ b/steer.c
@@ -122,6 +122,7 @@
 		return false;
 	memcpy(req.tried, op->tried, sizeof(req.tried));
 	req.nr_tried = op->nr_tried;
+	req.flow_digest = steer_flow_digest(&flow->addr);
 	tgt = placing_choose(st->opts.placing, &req);
 	if (!tgt)
 		return false;
@@ -197,7 +198,11 @@
 {
 	struct flow_addr addr = { pkt->caller, pkt->service };
 	struct steer_flow *flow = steer_flow_add(st, &addr, FLOW_OPENING, now);
-	struct placing_request req = { .rule = rule, .now = now };
+	struct placing_request req = {
+		.rule = rule,
+		.now = now,
+		.flow_digest = steer_flow_digest(&addr),
+	};
 	struct reg_target *tgt;
 
 	st->opts.counters->openings++;
--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -16,6 +16,10 @@
 	{ "calm", "--seconds 9 --net 20", false },
 	{ "faults", "--seconds 20 --net 21 --faults --seed 1", false },
 	{ "drains", "--seconds 16 --net 22 --faults --seed 3 --only target-release", false },
+	{ "changes-around-outages-of-the-store",
+	  "--seconds 24 --net 24 --faults --seed 5 "
+	  "--only store-silent,store-busy,config,target-release",
+	  false },
 	{ "drains-with-old-beliefs",
 	  "--seconds 16 --net 23 --faults --seed 3 --only target-release --watch-pause 10000",
 	  true },
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -25,6 +25,7 @@
 	GString *sent;	   /* what the instance has sent since the last command */
 	GHashTable *bound; /* "$1" to the name that it stands for */
 	unsigned int max_flows;
+	enum placing_policy policy;
 	bool running;
 };
 
@@ -66,6 +67,7 @@
 {
 	struct beliefs_options opts = {
 		.data_centre = "home",
+		.placing = fix->policy,
 		.remote_percent = 200,
 		.cold_gap_ms = 1000,
 		.verify_ms = 50,
@@ -330,6 +332,7 @@
 	const char *name;
 	const char *lines;
 	unsigned int max_flows; /* 0 for plenty */
+	enum placing_policy policy;
 };
 
 static void run_script(gconstpointer data)
@@ -342,6 +345,7 @@
 		.sent = g_string_new(NULL),
 		.bound = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 		.max_flows = script->max_flows ? script->max_flows : 1000,
+		.policy = script->policy,
 	};
 
 	seeded_random_init(&fix.random, 1);
@@ -363,6 +367,17 @@
 	"target i-a web home\n"                                                                    \
 	"target i-b web home\n"                                                                    \
 	"config 1 443=web:1\n"
+#define THREE_TARGETS                                                                              \
+	"target i-a web home\n"                                                                    \
+	"target i-b web home\n"                                                                    \
+	"target i-c web home\n"                                                                    \
+	"config 1 443=web:1\n"
+#define EIGHT_TARGETS                                                                              \
+	"target i-a web home\ntarget i-b web home\n"                                               \
+	"target i-c web home\ntarget i-d web home\n"                                               \
+	"target i-e web home\ntarget i-f web home\n"                                               \
+	"target i-g web home\ntarget i-h web home\n"                                               \
+	"config 1 443=web:1\n"
 /* A flow of c1 that is open at $1. */
 #define OPEN_FLOW                                                                                  \
 	TWO_TARGETS                                                                                \
@@ -619,6 +634,35 @@
 	  "pkt c9 443 mark=i-a => forward i-a\n"
 	  "pkt c8 443 mark=i-a => forward i-a\n"
 	  "syn c3 443 => forward i-b\n" },
+	{ "place/two-choices-agree-on-two-instances",
+	  THREE_TARGETS "syn c1 443 => forward $1\nrestart\n" THREE_TARGETS
+			"syn c1 443 => forward $1\n"
+			"restart\n" THREE_TARGETS "syn c2 443 => forward $2\n"
+			"restart\n" THREE_TARGETS "syn c2 443 => forward $2\n",
+	  0, PLACING_TWO_CHOICES },
+	{ "place/two-choices-stay-at-home",
+	  "target i-a web away\ntarget i-b web home\ntarget i-c web away\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-b\n"
+	  "restart\n"
+	  "target i-a web away\ntarget i-b web home\ntarget i-c web away\nconfig 1 443=web:1\n"
+	  "syn c5 443 => forward i-b\n",
+	  0, PLACING_TWO_CHOICES },
+	/* A target that loses its flows because it fails must not attract every opening. */
+	{ "place/two-choices-leave-an-empty-target-alone",
+	  EIGHT_TARGETS "pkt c21 443 mark=i-b => forward i-b\npkt c22 443 mark=i-c => forward i-c\n"
+			"pkt c23 443 mark=i-d => forward i-d\npkt c24 443 mark=i-e => forward i-e\n"
+			"pkt c25 443 mark=i-f => forward i-f\npkt c26 443 mark=i-g => forward i-g\n"
+			"pkt c27 443 mark=i-h => forward i-h\n"
+			"syn c1 443 => forward i-a\nsyn c2 443 => forward i-e\n"
+			"syn c3 443 => forward i-c\nsyn c4 443 => forward i-b\n",
+	  0, PLACING_TWO_CHOICES },
+	{ "place/rendezvous-agrees-on-two-instances",
+	  THREE_TARGETS "syn c1 443 => forward $1\nrestart\n" THREE_TARGETS
+			"syn c1 443 => forward $1\n",
+	  0, PLACING_RENDEZVOUS },
+	{ "place/a-service-without-warm-targets-uses-cold-ones",
+	  "target i-a web home cold=5000\nconfig 1 443=web:1\nsyn c1 443 => forward i-a\n", 0,
+	  PLACING_TWO_CHOICES },
 	{ "place/second-service-when-the-first-has-no-target",
 	  "target i-b other home\nconfig 1 443=web:100+other:1\n"
 	  "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\n" },
--- a/t/world/world.c
+++ b/t/world/world.c
@@ -1,6 +1,6 @@
 /*
  * world --dir DIR [--binary FILE] [--instances N] [--callers N] [--seconds S] [--faults] [--seed N]
- *     [--net N] [--watch-pause MS] [--only FAULT]
+ *     [--net N] [--watch-pause MS] [--only FAULT,...]
  *
  * Plays a day before real instances. With --faults, a seed decides which faults strike when; they
  * come in series and overlap, and the last QUIET_S seconds are left to recover. Prints a report and
@@ -41,7 +41,7 @@
 	unsigned int seconds;
 	unsigned int watch_pause_ms;
 	bool faults;
-	int only; /* enum fault_kind, or -1 for all */
+	bool only[FAULT_KINDS]; /* the kinds that strike */
 	uint64_t seed;
 };
 
@@ -372,10 +372,12 @@
 	note_event(w, "%s withdrawn for %d ms", name, (int)(w->withdrawn_until_ms - w->now_ms));
 }
 
-static void inject(struct world *w, int only)
+static void inject(struct world *w, const bool *only)
 {
-	enum fault_kind kind = only >= 0 ? (enum fault_kind)only : wrandom(w, FAULT_KINDS);
+	enum fault_kind kind = wrandom(w, FAULT_KINDS);
 
+	while (!only[kind])
+		kind = (kind + 1) % FAULT_KINDS;
 	switch (kind) {
 	case FAULT_KILL:
 	case FAULT_PAUSE:
@@ -543,13 +545,18 @@
 	[FAULT_LOSSY] = "lossy",
 };
 
-static int fault_by_name(const char *name)
+/* Names separated by commas; all kinds for "". Returns false when none is known. */
+static bool parse_faults(const char *names, bool *only)
 {
+	char **list = g_strsplit(names, ",", 0);
+	bool any = false;
+
 	for (int i = 0; i < FAULT_KINDS; i++) {
-		if (!strcmp(name, fault_names[i]))
-			return i;
+		only[i] = !*names || g_strv_contains((const char *const *)list, fault_names[i]);
+		any |= only[i];
 	}
-	return -1;
+	g_strfreev(list);
+	return any;
 }
 
 static const char *option(int argc, char **argv, const char *name, const char *def)
@@ -596,7 +603,6 @@
 		.seconds = (unsigned int)atoi(option(argc, argv, "--seconds", "12")),
 		.seed = strtoull(option(argc, argv, "--seed", "1"), NULL, 10),
 		.faults = flag(argc, argv, "--faults"),
-		.only = fault_by_name(option(argc, argv, "--only", "")),
 		.watch_pause_ms = (unsigned int)atoi(option(argc, argv, "--watch-pause", "700")),
 	};
 	static struct world w;
@@ -604,7 +610,8 @@
 	unsigned int served;
 	bool ok;
 
-	if (!opts.dir || opts.instances < 1 || opts.instances > 64 || opts.seconds < 8) {
+	if (!parse_faults(option(argc, argv, "--only", ""), opts.only) || !opts.dir ||
+	    opts.instances < 1 || opts.instances > 64 || opts.seconds < 8) {
 		fprintf(stderr, "usage: world --dir DIR [--binary FILE] [--instances N] "
 				"[--callers N] [--seconds S] [--faults] [--seed N]\n");
 		return 2;
