--- a/builtin/edge.c
+++ b/builtin/edge.c
@@ -40,6 +40,7 @@
 		fprintf(stderr, "jujubestage: unknown log level \"%s\"\n", set->log_level->str);
 		return EXIT_USAGE;
 	}
+	log_defer();
 	ret = edge_new(&opts, &edge);
 	if (ret)
 		goto cleanup;
--- a/edge.c
+++ b/edge.c
@@ -10,6 +10,7 @@
 #include "decision.h"
 #include "edge-metrics.h"
 #include "httpserve.h"
+#include "log.h"
 #include "timeutil.h"
 #include "udp.h"
 
@@ -309,13 +310,14 @@
 	schedule(edge);
 }
 
-/* Sets the timer to the next work, unless it is due sooner already. */
+/* Ends a turn of the loop: sets the timer to the next work, unless it is due sooner already. */
 static void schedule(struct edge *edge)
 {
 	struct timespec now = edge_now(edge);
 	int64_t ms = steer_due_ms(edge->beliefs.steer, now);
 	struct timespec due;
 
+	log_flush();
 	if (edge->stopping)
 		ms = MIN(ms, STOP_QUIET_MS / 4);
 	due = ts_add_ms(now, ms);
--- a/linewriter.c
+++ b/linewriter.c
@@ -20,7 +20,7 @@
 		fcntl(fd, F_SETFL, lw->flags | O_NONBLOCK);
 }
 
-static void flush(struct linewriter *lw)
+void linewriter_flush(struct linewriter *lw)
 {
 	while (lw->pending->len) {
 		ssize_t done = write(lw->fd, lw->pending->str, lw->pending->len);
@@ -35,7 +35,7 @@
 
 void linewriter_release(struct linewriter *lw)
 {
-	flush(lw);
+	linewriter_flush(lw);
 	if (lw->flags >= 0)
 		fcntl(lw->fd, F_SETFL, lw->flags);
 	g_string_free(lw->pending, TRUE);
@@ -45,11 +45,12 @@
 void linewriter_write(struct linewriter *lw, const char *line, size_t len)
 {
 	if (lw->pending->len + len > lw->max_pending)
-		flush(lw);
+		linewriter_flush(lw);
 	if (lw->pending->len + len > lw->max_pending) {
 		lw->lost++;
 		return;
 	}
 	g_string_append_len(lw->pending, line, (gssize)len);
-	flush(lw);
+	if (!lw->deferred)
+		linewriter_flush(lw);
 }
--- a/linewriter.h
+++ b/linewriter.h
@@ -6,6 +6,7 @@
 #define LINEWRITER_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 struct linewriter {
@@ -13,6 +14,7 @@
 	int flags; /* of the descriptor before, to be restored */
 	GString *pending;
 	size_t max_pending; /* bytes */
+	bool deferred;	    /* lines wait for linewriter_flush() */
 	uint64_t lost;	    /* lines */
 };
 
@@ -20,6 +22,8 @@
 void linewriter_init(struct linewriter *lw, int fd, size_t max_pending);
 /* Tries once more to write what is pending. */
 void linewriter_release(struct linewriter *lw);
+/* Writes what is pending as far as the reader takes it. */
+void linewriter_flush(struct linewriter *lw);
 /* @line ends with a newline. */
 void linewriter_write(struct linewriter *lw, const char *line, size_t len);
 
--- a/log.c
+++ b/log.c
@@ -97,6 +97,17 @@
 	linewriter_release(&writer);
 }
 
+void log_defer(void)
+{
+	writer.deferred = true;
+}
+
+void log_flush(void)
+{
+	if (writer.pending && writer.pending->len)
+		linewriter_flush(&writer);
+}
+
 uint64_t log_lost(void)
 {
 	return writer.lost;
--- a/log.h
+++ b/log.h
@@ -18,6 +18,9 @@
 /* Starts the log at @level (error, warn, info or debug). Returns 0, or -EINVAL. */
 int log_init(const char *level, const char *instance);
 void log_release(void);
+/* From now on, lines are written by log_flush(): one call of the system for several lines. */
+void log_defer(void);
+void log_flush(void);
 /* Lines lost because the reader of standard output was behind. */
 uint64_t log_lost(void);
 
