edge, loop: share what stood twice

The histogram of the age of beliefs was exported and never filled.

Change: rawsource.c and gstr.h; the age is taken at each opening.

Ruled out: one loop for both kinds of instance (they share neither sockets nor events).

Conclusion: one copy each.

--- a/beliefs.c
+++ b/beliefs.c
@@ -1,6 +1,7 @@
 #include "beliefs.h"
 
 #include "decision.h"
+#include "gstr.h"
 #include "timeutil.h"
 
 /*
@@ -9,21 +10,6 @@
  */
 #define LAPSE_GRACE_MS 2500
 
-static void free_id(gpointer data)
-{
-	g_string_free(data, TRUE);
-}
-
-static guint id_hash(gconstpointer key)
-{
-	return g_string_hash(key);
-}
-
-static gboolean id_equal(gconstpointer a, gconstpointer b)
-{
-	return g_string_equal(a, b);
-}
-
 void beliefs_init(struct beliefs *bel, const struct beliefs_options *opts)
 {
 	struct placing_options placing = {
@@ -36,6 +22,7 @@
 		.placing = &bel->placing,
 		.out = opts->out,
 		.counters = &bel->counters,
+		.targets_heard = &bel->heard[BELIEF_TARGETS],
 		.max_flows = opts->max_flows,
 		.verify_ms = opts->verify_ms,
 		.resets = true,
@@ -51,7 +38,7 @@
 	steer.registry = bel->registry;
 	steer.routing = bel->routing;
 	bel->steer = steer_new(&steer);
-	bel->lapsed = g_hash_table_new_full(id_hash, id_equal, free_id, g_free);
+	bel->lapsed = g_hash_table_new_full(gstr_hash, gstr_equal, gstr_free, g_free);
 }
 
 void beliefs_release(struct beliefs *bel)
--- a/beliefs.h
+++ b/beliefs.h
@@ -32,7 +32,6 @@
 	struct timespec heard[BELIEF_KINDS]; /* when the store last answered */
 	bool store_lost;
 	struct timespec store_regained;
-	struct histogram ages; /* of the beliefs when an opening is placed */
 	struct histogram store_times;
 };
 
--- a/edge-metrics.c
+++ b/edge-metrics.c
@@ -63,7 +63,7 @@
 		"time since the store last answered about the configuration");
 	histogram_write(out, steer_accept_times(bel->steer), "opening_seconds",
 			"time from an opening to the first packet after its acceptance");
-	histogram_write(out, &bel->ages, "belief_age_seconds",
+	histogram_write(out, steer_belief_ages(bel->steer), "belief_age_seconds",
 			"age of what is known of targets when an opening is placed");
 	histogram_write(out, &bel->store_times, "store_call_seconds",
 			"time of a call to the store that is not a watch");
--- a/edge.c
+++ b/edge.c
@@ -11,6 +11,7 @@
 #include "edge-metrics.h"
 #include "httpserve.h"
 #include "log.h"
+#include "rawsource.h"
 #include "timeutil.h"
 #include "udp.h"
 
@@ -54,8 +55,8 @@
 	struct connprobes *probes;
 	lws_sorted_usec_list_t timer;
 	struct timespec timer_due;
-	int packets;
-	int signals;
+	struct rawsource packets;
+	struct rawsource signals;
 	struct udp_in in;
 	struct udp_out sending;
 	GByteArray *buffer; /* datagrams of @sending */
@@ -199,14 +200,15 @@
 	schedule(edge);
 }
 
-static void packets_readable(struct edge *edge)
+static void packets_readable(struct rawsource *raw)
 {
+	struct edge *edge = lws_container_of(raw, struct edge, packets);
 	int nr = UDP_BATCH;
 
 	for (int round = 0; round < ROUNDS_PER_WAKEUP && nr == UDP_BATCH; round++) {
 		struct timespec now = edge_now(edge);
 
-		nr = udp_in_receive(&edge->in, edge->packets);
+		nr = udp_in_receive(&edge->in, edge->packets.fd);
 		for (int i = 0; i < nr; i++) {
 			const uint8_t *bytes;
 			size_t size;
@@ -269,11 +271,12 @@
 	edge_settings_release(&set);
 }
 
-static void signals_readable(struct edge *edge)
+static void signals_readable(struct rawsource *raw)
 {
+	struct edge *edge = lws_container_of(raw, struct edge, signals);
 	struct signalfd_siginfo info;
 
-	while (read(edge->signals, &info, sizeof(info)) == sizeof(info)) {
+	while (read(edge->signals.fd, &info, sizeof(info)) == sizeof(info)) {
 		if (info.ssi_signo == SIGHUP)
 			reload(edge, "signal", edge_now(edge));
 		else
@@ -327,46 +330,6 @@
 	lws_sul_schedule(edge->context, 0, &edge->timer, timer_due, (lws_usec_t)ms * LWS_US_PER_MS);
 }
 
-static int on_source(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
-		     size_t len)
-{
-	struct edge *edge;
-
-	(void)user;
-	(void)in;
-	(void)len;
-	if (reason != LWS_CALLBACK_RAW_RX_FILE)
-		return 0;
-	edge = lws_get_opaque_user_data(wsi);
-	if ((int)lws_get_socket_fd(wsi) == edge->packets)
-		packets_readable(edge);
-	else
-		signals_readable(edge);
-	return 0;
-}
-
-static const struct lws_protocols protocols[] = {
-	{ .name = "source", .callback = on_source },
-	{ 0 },
-};
-
-/* Hands a descriptor to libwebsockets, which closes it in the end. Takes a negative errno too. */
-static int adopt(struct edge *edge, int fd, int *kept)
-{
-	lws_adopt_desc_t info = {
-		.vh = edge->vhost,
-		.type = LWS_ADOPT_RAW_FILE_DESC,
-		.fd.filefd = fd,
-		.vh_prot_name = protocols[0].name,
-		.opaque = edge,
-	};
-
-	if (fd < 0)
-		return fd;
-	*kept = fd;
-	return lws_adopt_descriptor_vhost_via_info(&info) ? 0 : -ENOMEM;
-}
-
 static int catch_signals(struct edge *edge)
 {
 	sigset_t set;
@@ -378,7 +341,8 @@
 	if (sigprocmask(SIG_BLOCK, &set, NULL))
 		return -errno;
 	signal(SIGPIPE, SIG_IGN);
-	return adopt(edge, signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), &edge->signals);
+	return rawsource_adopt(edge->vhost, &edge->signals,
+			       signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), signals_readable);
 }
 
 static unsigned int ready_page(void *arg, const char *path, GString *body, const char **type)
@@ -420,7 +384,7 @@
 	struct lws_context_creation_info info = {
 		.port = CONTEXT_PORT_NO_LISTEN,
 		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
-		.protocols = protocols,
+		.protocols = rawsource_protocols,
 		.vhost_name = "sources",
 		.uid = (uid_t)-1,
 		.gid = (gid_t)-1,
@@ -440,11 +404,12 @@
 static int open_sockets(struct edge *edge)
 {
 	const struct edge_settings *set = edge->opts.set;
-	int ret = adopt(edge, udp_open(set->packets), &edge->packets);
+	int ret = rawsource_adopt(edge->vhost, &edge->packets, udp_open(set->packets),
+				  packets_readable);
 
 	if (ret)
 		return ret;
-	udp_out_init(&edge->sending, edge->packets);
+	udp_out_init(&edge->sending, edge->packets.fd);
 	edge->ready_pages = (struct http_pages){ ready_page, edge };
 	edge->metrics_pages = (struct http_pages){ metrics_page, edge };
 	ret = http_serve(edge->context, set->ready, "ready", &edge->ready_pages);
--- a/loop.c
+++ b/loop.c
@@ -8,6 +8,7 @@
 #include "dataplane.h"
 #include "log.h"
 #include "probe.h"
+#include "rawsource.h"
 
 #define PEER_BUFFER_BYTES 65536
 /* Batches read from one socket before the others get their turn. */
@@ -23,10 +24,10 @@
 	struct loop *loop;
 };
 
-/* A descriptor that libwebsockets polls for us. */
+/* A socket of the loop. */
 struct source {
+	struct rawsource raw; /* first member */
 	struct loop *loop;
-	int fd;
 	void (*readable)(struct loop *loop);
 };
 
@@ -211,7 +212,7 @@
 	size_t len;
 
 	for (int round = 0, nr = UDP_BATCH; round < ROUNDS_PER_WAKEUP && nr == UDP_BATCH; round++) {
-		nr = udp_in_receive(&loop->peers_in, loop->peers.fd);
+		nr = udp_in_receive(&loop->peers_in, loop->peers.raw.fd);
 		for (int i = 0; i < nr; i++) {
 			if (udp_in_at(&loop->peers_in, i, &bytes, &len, &src))
 				peer_receive(loop->peer, src, bytes, len);
@@ -233,7 +234,7 @@
 	};
 
 	/* A datagram that the kernel does not take is lost; calls are repeated. */
-	sendto(loop->peers.fd, bytes, len, MSG_DONTWAIT, (struct sockaddr *)&sa, sizeof(sa));
+	sendto(loop->peers.raw.fd, bytes, len, MSG_DONTWAIT, (struct sockaddr *)&sa, sizeof(sa));
 }
 
 static const struct peer_transport_ops transport_ops = {
@@ -310,47 +311,24 @@
 {
 	struct signalfd_siginfo info;
 
-	while (read(loop->signals.fd, &info, sizeof(info)) == sizeof(info)) {
+	while (read(loop->signals.raw.fd, &info, sizeof(info)) == sizeof(info)) {
 		log_event(LOG_LEVEL_INFO, "event=signal number=%u", info.ssi_signo);
 		loop_stop(loop);
 	}
 }
 
-static int source_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
-			   size_t len)
+static void source_readable(struct rawsource *raw)
 {
-	struct source *src;
+	struct source *src = (struct source *)raw;
 
-	(void)user;
-	(void)in;
-	(void)len;
-	if (reason != LWS_CALLBACK_RAW_RX_FILE)
-		return 0;
-	src = lws_get_opaque_user_data(wsi);
 	src->readable(src->loop);
-	return 0;
 }
 
-static const struct lws_protocols protocols[] = {
-	{ .name = "source", .callback = source_callback },
-	{ .name = NULL },
-};
-
-/* Hands a descriptor to libwebsockets, which closes it in the end. Takes a negative errno too. */
 static int adopt(struct loop *loop, struct source *src, int fd, void (*readable)(struct loop *))
 {
-	lws_adopt_desc_t info = {
-		.vh = loop->vhost,
-		.type = LWS_ADOPT_RAW_FILE_DESC,
-		.fd.filefd = fd,
-		.vh_prot_name = protocols[0].name,
-		.opaque = src,
-	};
-
-	if (fd < 0)
-		return fd;
-	*src = (struct source){ loop, fd, readable };
-	return lws_adopt_descriptor_vhost_via_info(&info) ? 0 : -ENOMEM;
+	src->loop = loop;
+	src->readable = readable;
+	return rawsource_adopt(loop->vhost, &src->raw, fd, source_readable);
 }
 
 int loop_catch_signals(struct loop *loop)
@@ -379,7 +357,7 @@
 	struct lws_context_creation_info info = {
 		.port = CONTEXT_PORT_NO_LISTEN,
 		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
-		.protocols = protocols,
+		.protocols = rawsource_protocols,
 		.vhost_name = "sources",
 		.uid = (uid_t)-1,
 		.gid = (gid_t)-1,
@@ -464,8 +442,8 @@
 		loop_free(loop);
 		return ret;
 	}
-	dataplane_init(&loop->dp, loop->core, opts->set->egress, loop->packets.fd,
-		       loop->answers.fd);
+	dataplane_init(&loop->dp, loop->core, opts->set->egress, loop->packets.raw.fd,
+		       loop->answers.raw.fd);
 	lws_sul_schedule(loop->context, 0, &loop->timer, timer_due, 1);
 	*res = loop;
 	return 0;
--- a/registry.c
+++ b/registry.c
@@ -3,6 +3,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "gstr.h"
 #include "timeutil.h"
 
 #define MARK_CHECK_BITS 16
@@ -28,21 +29,11 @@
 	g_ptr_array_unref(data);
 }
 
-static guint id_hash(gconstpointer key)
-{
-	return g_string_hash(key);
-}
-
-static gboolean id_equal(gconstpointer a, gconstpointer b)
-{
-	return g_string_equal(a, b);
-}
-
 struct registry *registry_new(void)
 {
 	struct registry *reg = g_new0(struct registry, 1);
 
-	reg->by_id = g_hash_table_new_full(id_hash, id_equal, NULL, free_target);
+	reg->by_id = g_hash_table_new_full(gstr_hash, gstr_equal, NULL, free_target);
 	reg->by_mark = g_hash_table_new(NULL, NULL);
 	reg->by_service = g_hash_table_new_full(NULL, NULL, NULL, free_array);
 	return reg;
--- a/steer-internal.h
+++ b/steer-internal.h
@@ -60,6 +60,7 @@
 	bool store_lost;
 	struct timespec others_verified;
 	struct histogram accept_times;
+	struct histogram belief_ages;
 };
 
 /* Flow table; steer-flow.c. */
--- a/steer.c
+++ b/steer.c
@@ -217,6 +217,7 @@
 	struct reg_target *tgt;
 
 	st->opts.counters->openings++;
+	histogram_add(&st->belief_ages, ts_diff_ms(now, *st->opts.targets_heard));
 	if (!flow) {
 		/* The table is full: the mark alone carries the flow. */
 		st->opts.counters->flows_untracked++;
@@ -578,3 +579,8 @@
 {
 	return &st->accept_times;
 }
+
+const struct histogram *steer_belief_ages(const struct steer *st)
+{
+	return &st->belief_ages;
+}
--- a/steer.h
+++ b/steer.h
@@ -84,6 +84,7 @@
 	struct placing *placing;
 	struct steer_out *out;
 	struct edge_counters *counters;
+	const struct timespec *targets_heard; /* when the list of targets was last confirmed */
 	size_t max_flows;
 	uint32_t verify_ms;
 	bool resets; /* reset the flows of targets that are dead or gone */
@@ -114,5 +115,7 @@
 
 uint32_t steer_flows(const struct steer *st);
 const struct histogram *steer_accept_times(const struct steer *st);
+/* Age of the list of targets when openings were placed. */
+const struct histogram *steer_belief_ages(const struct steer *st);
 
 #endif
--- a/symbol.c
+++ b/symbol.c
@@ -1,24 +1,11 @@
 #include "symbol.h"
 
-static void free_string(gpointer str)
-{
-	g_string_free(str, TRUE);
-}
-
-static guint string_hash(gconstpointer key)
-{
-	return g_string_hash(key);
-}
-
-static gboolean string_equal(gconstpointer a, gconstpointer b)
-{
-	return g_string_equal(a, b);
-}
+#include "gstr.h"
 
 void symbols_init(struct symbols *syms)
 {
-	syms->names = g_ptr_array_new_with_free_func(free_string);
-	syms->by_name = g_hash_table_new(string_hash, string_equal);
+	syms->names = g_ptr_array_new_with_free_func(gstr_free);
+	syms->by_name = g_hash_table_new(gstr_hash, gstr_equal);
 }
 
 void symbols_release(struct symbols *syms)
