suspicion: end the verification of targets that have left

Cause: read in the diff. A target that was found dead and then left the list stayed among the watched ones: it was tried once a second for ever, and after 60 s the registry freed it while it was still watched.

Change: a target that has left and has no flows here is verified no more; the registry frees none that is watched. A script of test-steer, which sent a probe each second before.

Ruled out: dropping it at once when it leaves (its flows are reset by the verification).

--- a/connprobe.c
+++ b/connprobe.c
@@ -124,7 +124,7 @@
 	if (!probes)
 		return;
 	while (probes->running->len)
-		release(g_ptr_array_index(probes->running, 0));
+		release(g_ptr_array_steal_index_fast(probes->running, 0));
 	g_ptr_array_unref(probes->running);
 	g_free(probes);
 }
--- a/registry.c
+++ b/registry.c
@@ -239,7 +239,7 @@
 		struct reg_target *tgt = value;
 
 		if (tgt->phase != TARGET_GONE || tgt->flows.length || tgt->probing ||
-		    ts_diff_ms(now, tgt->changed) < keep_ms)
+		    tgt->trust != TRUST_ALIVE || ts_diff_ms(now, tgt->changed) < keep_ms)
 			continue;
 		unindex_mark(reg, tgt);
 		g_hash_table_iter_remove(&iter);
--- a/routing.c
+++ b/routing.c
@@ -115,8 +115,12 @@
 
 void routing_abort(struct routing *rt)
 {
-	g_clear_pointer(&rt->next_routes, g_hash_table_unref);
-	g_clear_pointer(&rt->next_services, g_hash_table_unref);
+	if (rt->next_routes)
+		g_hash_table_unref(rt->next_routes);
+	if (rt->next_services)
+		g_hash_table_unref(rt->next_services);
+	rt->next_routes = NULL;
+	rt->next_services = NULL;
 }
 
 bool routing_ready(const struct routing *rt)
--- a/suspicion.c
+++ b/suspicion.c
@@ -203,12 +203,22 @@
 	return due;
 }
 
+/* A target that has left and has no flows here needs no more verification. */
+static bool is_done(const struct reg_target *tgt)
+{
+	return tgt->phase == TARGET_GONE && !tgt->open_flows;
+}
+
 void suspicion_timer(struct steer *st, struct timespec now)
 {
-	for (guint i = 0; i < st->watched->len; i++) {
+	for (guint i = st->watched->len; i-- > 0;) {
 		struct reg_target *tgt = g_ptr_array_index(st->watched, i);
 
-		if (!tgt->probing && ts_cmp(now, tgt->next_probe) >= 0)
+		if (tgt->probing || ts_cmp(now, tgt->next_probe) < 0)
+			continue;
+		if (is_done(tgt))
+			clear(st, tgt);
+		else
 			start_round(st, tgt, tgt->trust == TRUST_DEAD ? 1 : PROBES_A_ROUND, now);
 	}
 }
--- a/t/test-adapter.c
+++ b/t/test-adapter.c
@@ -124,7 +124,7 @@
 #define ROUTE(more) "{\"hostname\":\"198.18.0.1\",\"path_prefix\":\"/8443/\"," more "}"
 #define CONFIG(version, routes)                                                                    \
 	"{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":" version ",\"routes\":[" routes "]}" \
-											      "}"
+	"}"
 
 struct config_case {
 	const char *name;
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -511,6 +511,15 @@
 					   "wait 1000 => probe i-a\n"
 					   "probe i-a ok\n"
 					   "syn c3 443 => forward i-a\n" },
+	{ "dead/target-that-has-left-is-verified-no-more",
+	  ONE_TARGET "syn c1 443 => forward i-a\n"
+		     "pkt c1 443 mark=i-a => forward i-a\n"
+		     "gone i-a => probe i-a\n"
+		     "wait 100\n"
+		     "probe i-a timeout => reset c1\n"
+		     "wait 100000\n"
+		     "target i-a web home\n"
+		     "syn c2 443 => forward i-a\n" },
 	/* While the store is away, another target may take the address of a dead one. */
 	{ "dead/connection-is-no-proof-without-the-store",
 	  ONE_TARGET "syn c1 443 => forward i-a\n"
