routing: drop what nothing reads

Cause: read in the diff. The kind, priority and time-out of routes and the cold rate of services were parsed and used nowhere; a malformed entry was logged at each list, not once.

Malformed entries are logged once each.

Ruled out: a cold bound by the rate now (an instance does not know how many others share it).

Conclusion: less to read.

--- a/beliefs.c
+++ b/beliefs.c
@@ -9,6 +9,8 @@
  * missing longer names a target that is gone.
  */
 #define LAPSE_GRACE_MS 2500
+/* Entries that are logged as malformed, each once; further ones are only counted. */
+#define MALFORMED_MAX 256
 
 void beliefs_init(struct beliefs *bel, const struct beliefs_options *opts)
 {
@@ -38,12 +40,14 @@
 	steer.registry = bel->registry;
 	steer.routing = bel->routing;
 	bel->steer = steer_new(&steer);
+	bel->malformed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	bel->lapsed = g_hash_table_new_full(gstr_hash, gstr_equal, gstr_free, g_free);
 }
 
 void beliefs_release(struct beliefs *bel)
 {
 	g_hash_table_unref(bel->lapsed);
+	g_hash_table_unref(bel->malformed);
 	steer_free(bel->steer);
 	placing_release(&bel->placing);
 	routing_free(bel->routing);
@@ -206,5 +210,8 @@
 		       struct timespec now)
 {
 	bel->counters.entries_malformed++;
+	if (g_hash_table_size(bel->malformed) >= MALFORMED_MAX ||
+	    !g_hash_table_add(bel->malformed, g_strconcat(kind, "/", name, " ", why, NULL)))
+		return;
 	decision_log(DECISION_STORE, now, "entry=%s/%s ignored=\"%s\"", kind, name, why);
 }
--- a/beliefs.h
+++ b/beliefs.h
@@ -27,7 +27,8 @@
 	struct placing placing;
 	struct steer *steer;
 	struct edge_counters counters;
-	GHashTable *lapsed; /* GString id to struct timespec: entries to be removed then */
+	GHashTable *lapsed;    /* GString id to struct timespec: entries to be removed then */
+	GHashTable *malformed; /* names of entries that were complained of */
 	bool known[BELIEF_KINDS];
 	struct timespec heard[BELIEF_KINDS]; /* when the store last answered */
 	bool store_lost;
@@ -66,7 +67,7 @@
 /* The store has answered a call about @kind, or has failed to. */
 void beliefs_heard(struct beliefs *bel, enum belief_kind kind, struct timespec now);
 void beliefs_store_failed(struct beliefs *bel, const char *reason, struct timespec now);
-/* An entry names no target or cannot be read; it is left out. */
+/* An entry names no target or cannot be read; it is left out, and logged once. */
 void beliefs_malformed(struct beliefs *bel, const char *kind, const char *name, const char *why,
 		       struct timespec now);
 
--- a/routing.c
+++ b/routing.c
@@ -5,7 +5,6 @@
 
 struct routing {
 	GHashTable *routes;    /* address key to struct route_rule */
-	GHashTable *services;  /* symbol to struct service_rule */
 	GHashTable *withdrawn; /* set of address keys */
 	uint64_t version;
 	struct timespec changed;
@@ -13,7 +12,6 @@
 
 	/* The configuration that is being read. */
 	GHashTable *next_routes;
-	GHashTable *next_services;
 	uint64_t next_version;
 	uint32_t next_idle_timeout_ms;
 };
@@ -28,17 +26,11 @@
 	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
-static GHashTable *new_services(void)
-{
-	return g_hash_table_new_full(NULL, NULL, NULL, g_free);
-}
-
 struct routing *routing_new(void)
 {
 	struct routing *rt = g_new0(struct routing, 1);
 
 	rt->routes = new_routes();
-	rt->services = new_services();
 	rt->withdrawn = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	rt->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
 	return rt;
@@ -50,7 +42,6 @@
 		return;
 	routing_abort(rt);
 	g_hash_table_unref(rt->routes);
-	g_hash_table_unref(rt->services);
 	g_hash_table_unref(rt->withdrawn);
 	g_free(rt);
 }
@@ -63,7 +54,6 @@
 	rt->next_version = version;
 	rt->next_idle_timeout_ms = rt->idle_timeout_ms;
 	rt->next_routes = new_routes();
-	rt->next_services = new_services();
 	return true;
 }
 
@@ -75,12 +65,6 @@
 			     g_memdup2(rule, sizeof(*rule)));
 }
 
-void routing_add_service(struct routing *rt, const struct service_rule *rule)
-{
-	g_hash_table_replace(rt->next_services, GUINT_TO_POINTER(rule->service),
-			     g_memdup2(rule, sizeof(*rule)));
-}
-
 void routing_set_idle_timeout(struct routing *rt, uint32_t ms)
 {
 	rt->next_idle_timeout_ms = ms;
@@ -105,9 +89,7 @@
 {
 	note_withdrawn(rt);
 	g_hash_table_unref(rt->routes);
-	g_hash_table_unref(rt->services);
 	rt->routes = g_steal_pointer(&rt->next_routes);
-	rt->services = g_steal_pointer(&rt->next_services);
 	rt->version = rt->next_version;
 	rt->idle_timeout_ms = rt->next_idle_timeout_ms;
 	rt->changed = now;
@@ -117,10 +99,7 @@
 {
 	if (rt->next_routes)
 		g_hash_table_unref(rt->next_routes);
-	if (rt->next_services)
-		g_hash_table_unref(rt->next_services);
 	rt->next_routes = NULL;
-	rt->next_services = NULL;
 }
 
 bool routing_ready(const struct routing *rt)
@@ -161,11 +140,3 @@
 
 	return g_hash_table_contains(rt->withdrawn, &key);
 }
-
-uint32_t routing_cold_rate(const struct routing *rt, uint32_t service)
-{
-	const struct service_rule *rule =
-		g_hash_table_lookup(rt->services, GUINT_TO_POINTER(service));
-
-	return rule ? rule->cold_rate : 0;
-}
--- a/routing.h
+++ b/routing.h
@@ -14,12 +14,6 @@
 
 #define ROUTE_MAX_SERVICES 8
 
-enum route_kind {
-	ROUTE_IDEMPOTENT,
-	ROUTE_NON_IDEMPOTENT,
-	ROUTE_DOWNLOAD,
-};
-
 struct route_service {
 	uint32_t service; /* symbol */
 	uint32_t weight;
@@ -30,15 +24,6 @@
 	struct route_service services[ROUTE_MAX_SERVICES];
 	size_t nr_services;
 	uint32_t weight_sum;
-	uint32_t priority; /* 0 is the highest */
-	enum route_kind kind;
-	uint32_t timeout_ms;
-};
-
-struct service_rule {
-	uint32_t service;   /* symbol */
-	uint32_t cold_rate; /* openings a second that a cold target bears, in thousandths; 0 when no
-			       bound is given */
 };
 
 struct routing;
@@ -52,7 +37,6 @@
  */
 bool routing_begin(struct routing *rt, uint64_t version);
 void routing_add_route(struct routing *rt, const struct route_rule *rule);
-void routing_add_service(struct routing *rt, const struct service_rule *rule);
 void routing_set_idle_timeout(struct routing *rt, uint32_t ms);
 void routing_commit(struct routing *rt, struct timespec now);
 void routing_abort(struct routing *rt);
@@ -68,6 +52,5 @@
 const struct route_rule *routing_find(const struct routing *rt, struct endpoint address);
 /* Whether an earlier version had @address and the one in force does not. */
 bool routing_withdrawn(const struct routing *rt, struct endpoint address);
-uint32_t routing_cold_rate(const struct routing *rt, uint32_t service);
 
 #endif
