suspicion: a round with one connection has succeeded as a whole

When one connection of a round had succeeded and a flow stalled again before the other two timed out, those two counted as a failed round, and a living target lost its flows.

Change: a round in which one connection was made never fails.

Ruled out: waiting for the whole round before a target is cleared (its openings would wait 100 ms for nothing).

--- a/registry.h
+++ b/registry.h
@@ -70,6 +70,7 @@
 	unsigned int probing;	     /* probes under way */
 	unsigned int round_size;     /* probes of the latest round */
 	bool probe_refused;	     /* one of the round */
+	bool probe_connected;	     /* one of the round */
 };
 
 struct registry;
--- a/suspicion.c
+++ b/suspicion.c
@@ -31,6 +31,7 @@
 	tgt->probing = nr;
 	tgt->round_size = nr;
 	tgt->probe_refused = false;
+	tgt->probe_connected = false;
 	st->opts.counters->probes += nr;
 	st->opts.out->ops->probe(st->opts.out, tgt, nr);
 }
@@ -179,6 +180,7 @@
 	if (tgt->probing)
 		tgt->probing--;
 	if (result == PROBE_CONNECTED) {
+		tgt->probe_connected = true;
 		if (connection_proves(st, tgt, now))
 			set_alive(st, tgt, now);
 		else
@@ -186,7 +188,8 @@
 		return;
 	}
 	tgt->probe_refused |= result == PROBE_REFUSED;
-	if (tgt->trust != TRUST_ALIVE && !tgt->probing)
+	/* The target may be suspected again before the rest of a successful round has ended. */
+	if (tgt->trust != TRUST_ALIVE && !tgt->probing && !tgt->probe_connected)
 		round_failed(st, tgt, now);
 }
 
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -196,19 +196,25 @@
 	static const struct {
 		const char *name;
 		enum probe_result results[PROBES];
+		unsigned int nr; /* 0 for the whole round */
 	} rounds[] = {
-		{ "ok", { PROBE_CONNECTED, PROBE_CONNECTED, PROBE_CONNECTED } },
-		{ "mixed", { PROBE_TIMEOUT, PROBE_TIMEOUT, PROBE_CONNECTED } },
-		{ "refused", { PROBE_REFUSED, PROBE_REFUSED, PROBE_REFUSED } },
-		{ "timeout", { PROBE_TIMEOUT, PROBE_TIMEOUT, PROBE_TIMEOUT } },
+		{ "ok", { PROBE_CONNECTED, PROBE_CONNECTED, PROBE_CONNECTED }, 0 },
+		{ "mixed", { PROBE_TIMEOUT, PROBE_TIMEOUT, PROBE_CONNECTED }, 0 },
+		{ "refused", { PROBE_REFUSED, PROBE_REFUSED, PROBE_REFUSED }, 0 },
+		{ "timeout", { PROBE_TIMEOUT, PROBE_TIMEOUT, PROBE_TIMEOUT }, 0 },
+		{ "one-ok", { PROBE_CONNECTED }, 1 },
+		{ "two-timeouts", { PROBE_TIMEOUT, PROBE_TIMEOUT }, 2 },
 	};
 	struct reg_target *tgt = registry_by_id(fix->beliefs.registry, words[1]);
 	unsigned int round_size;
 
 	g_assert_nonnull(tgt);
-	round_size = tgt->round_size; /* a failed round may start a larger one */
+	/* A failed round may start a larger one. */
+	round_size = tgt->round_size;
 	for (size_t i = 0; i < G_N_ELEMENTS(rounds); i++) {
-		for (size_t j = 0; !strcmp(words[2], rounds[i].name) && j < round_size; j++)
+		for (size_t j = 0; !strcmp(words[2], rounds[i].name) &&
+				   j < (rounds[i].nr ? rounds[i].nr : round_size);
+		     j++)
 			steer_probed(fix->beliefs.steer, tgt, rounds[i].results[j], fix->now);
 	}
 }
@@ -429,6 +435,17 @@
 		    "pkt c1 443 mark=$1 len=100 => probe $1, forward $1\n"
 		    "wait 100\n"
 		    "probe $1 mixed\n" },
+	{ "flow/late-timeouts-of-a-successful-round",
+	  OPEN_FLOW "pkt c1 443 mark=$1 len=100 => forward $1\n"
+		    "wait 200\n"
+		    "pkt c1 443 mark=$1 len=100 => probe $1, forward $1\n"
+		    "wait 3\n"
+		    "probe $1 one-ok\n"
+		    "pkt c3 443 mark=$1 len=5 => forward $1\n"
+		    "wait 150\n"
+		    "pkt c3 443 mark=$1 len=5 => forward $1\n"
+		    "probe $1 two-timeouts\n"
+		    "pkt c1 443 mark=$1 len=200 => forward $1\n" },
 	{ "flow/sign-of-life-of-another-flow-clears",
 	  ONE_TARGET "syn c1 443 => forward i-a\n"
 		     "pkt c1 443 mark=i-a len=10 => forward i-a\n"
