explain: find causes of requests that no line names

Cause: the three kinds of failed request were played on written logs only.

Change: an instance whose timer was due 0.5 s ago or more says so (state=resumed late_ms=). The clock counts suspended time (CLOCK_BOOTTIME). explain takes the time of the failure (--at): it adds what happened after the flow's last line, and shows what all instances wrote at that time when no line names the request. t/test-edge.c plays a crashed target, paused instances and dropped routes, and follows the page for each failed try.

The emulator writes the failed tries, and gains stale reads, lost answers, slow targets and callers that move between data centres; a reset by a target that does not have the flow is a broken promise now.

--- a/builtin/explain.c
+++ b/builtin/explain.c
@@ -8,8 +8,7 @@
 
 #define MAX_LOGS 1000
 
-static int explain_files(const struct arg_str *request, const struct arg_str *flow,
-			 const struct arg_file *files)
+static int explain_files(const struct explain_question *q, const struct arg_file *files)
 {
 	struct explain *ex = explain_new();
 	GString *complaints = g_string_new(NULL);
@@ -32,13 +31,14 @@
 		g_free(text);
 	}
 	fputs(complaints->str, stderr);
-	if (explain_write(ex, request->count ? request->sval[0] : NULL,
-			  flow->count ? flow->sval[0] : NULL, out)) {
+	if (explain_write(ex, q, out)) {
 		fputs(out->str, stdout);
 		ret = EXIT_DONE;
 	} else {
-		fprintf(stderr, "jujubestage explain: no line names it; an instance writes a "
-				"request's id only when something happens to its flow\n");
+		fprintf(stderr,
+			"jujubestage explain: no line names it; an instance writes a "
+			"request's id only when something happens to its flow; --at shows what "
+			"instances wrote at the time of the failure\n");
 	}
 	g_string_free(out, TRUE);
 	g_string_free(complaints, TRUE);
@@ -52,11 +52,14 @@
 	struct arg_str *request = arg_str0(NULL, "request", "ID", "id of the request");
 	struct arg_str *flow =
 		arg_str0(NULL, "flow", "TEXT", "caller's address and port, or a part of them");
+	struct arg_str *at = arg_str0(NULL, "at", "TIME",
+				      "when it failed, as in the logs: 2026-01-01T00:00:00.000Z");
 	struct arg_file *files =
 		arg_filen(NULL, NULL, "FILE", 0, MAX_LOGS, "logs of instances, in any order");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, request, flow, files, end };
+	void *table[] = { help, request, flow, at, files, end };
 	int errors = arg_parse(argc, argv, table);
+	struct explain_question q = { 0 };
 	int ret = EXIT_USAGE;
 
 	if (help->count || errors || !files->count || request->count + flow->count != 1) {
@@ -68,8 +71,13 @@
 		fprintf(help->count ? stdout : stderr, "Exactly one of --request and --flow.\n");
 		if (help->count)
 			ret = EXIT_DONE;
+	} else if (at->count && !explain_parse_time(at->sval[0], &q.at_ms)) {
+		fprintf(stderr, "jujubestage explain: --at: not a time of the form "
+				"2026-01-01T00:00:00.000Z\n");
 	} else {
-		ret = explain_files(request, flow, files);
+		q.request = request->count ? request->sval[0] : NULL;
+		q.flow = flow->count ? flow->sval[0] : NULL;
+		ret = explain_files(&q, files);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return ret;
--- a/edge.c
+++ b/edge.c
@@ -32,6 +32,8 @@
 #define HELD_AGE_MS 600
 /* The settings file may change without a signal. */
 #define SETTINGS_CHECK_MS 5000
+/* A timer this late is logged: no caller of the shortest deadline, 0.5 s, was served meanwhile. */
+#define LATE_TIMER_MS 500
 
 struct edge;
 
@@ -311,8 +313,12 @@
 {
 	struct edge *edge = lws_container_of(sul, struct edge, timer);
 	struct timespec now = edge_now(edge);
+	int64_t late_ms = ts_diff_ms(now, edge->timer_due);
 
-	histogram_add(&edge->loop_delays, ts_diff_ms(now, edge->timer_due));
+	histogram_add(&edge->loop_delays, late_ms);
+	if (late_ms >= LATE_TIMER_MS)
+		decision_log(DECISION_PROCESS, now, "state=resumed late_ms=%lld flows=%u",
+			     (long long)late_ms, steer_flows(edge->beliefs.steer));
 	edge->timer_due = (struct timespec){ 0 };
 	beliefs_timer(&edge->beliefs, now);
 	if (ts_diff_ms(now, edge->settings_checked) >= SETTINGS_CHECK_MS) {
--- a/explain.c
+++ b/explain.c
@@ -80,7 +80,7 @@
 	return len && strlen(want) == len && !memcmp(val, want, len);
 }
 
-static bool parse_time(const char *text, int64_t *ms)
+bool explain_parse_time(const char *text, int64_t *ms)
 {
 	struct tm tm = { 0 };
 	int milli;
@@ -105,7 +105,7 @@
 
 	if (!start)
 		return "no time: not a line of an instance's log";
-	if (!parse_time(start + strlen("time="), &ms))
+	if (!explain_parse_time(start + strlen("time="), &ms))
 		return "malformed time";
 	event = find_value(start, "event", &len);
 	if (!len)
@@ -253,7 +253,7 @@
 struct subject {
 	GHashTable *flows;
 	GHashTable *targets;
-	GHashTable *instances;
+	GHashTable *instances; /* NULL for all */
 	int64_t from_ms;
 	int64_t to_ms;
 };
@@ -295,7 +295,8 @@
 	}
 }
 
-static void find_subject(const struct explain *ex, struct subject *sub)
+/* @at_ms: a time that belongs to the subject, 0 for none. */
+static void find_subject(const struct explain *ex, struct subject *sub, int64_t at_ms)
 {
 	bool first = true;
 
@@ -308,7 +309,7 @@
 		g_hash_table_add(sub->instances, g_strdup(line->instance->str));
 		if (first)
 			sub->from_ms = line->true_ms;
-		sub->to_ms = line->true_ms;
+		sub->to_ms = MAX(line->true_ms, at_ms);
 		first = false;
 	}
 }
@@ -321,7 +322,7 @@
 	if (is_event(line, "target"))
 		return in_set(sub->targets, line, "target");
 	return (is_event(line, "process") || is_event(line, "config") || is_event(line, "store")) &&
-	       g_hash_table_contains(sub->instances, line->instance->str);
+	       (!sub->instances || g_hash_table_contains(sub->instances, line->instance->str));
 }
 
 /* What a line says about why requests fail. */
@@ -331,7 +332,7 @@
 	const char *value;
 	const char *cause;
 } causes[] = {
-	{ "reset", "reason", "target_dead", "its target did not answer two connections" },
+	{ "reset", "reason", "target_dead", "its target did not answer connections" },
 	{ "reset", "reason", "target_gone", "its target had left the list and did not answer" },
 	{ "reset", "reason", "target_reborn", "its target had restarted" },
 	{ "reset", "reason", "route_withdrawn", "the configuration dropped its route" },
@@ -345,6 +346,7 @@
 	{ "drop", "reason", "unknown_mark", "an instance did not know its target yet" },
 	{ "process", "state", "stopping", "an instance that handled it was stopped" },
 	{ "process", "state", "started", "an instance that handled it had started anew" },
+	{ "process", "state", "resumed", "an instance that handled it had not run for a while" },
 	{ "store", "store", "lost", "an instance that handled it had lost the store" },
 };
 
@@ -370,7 +372,9 @@
 	GHashTable *said = g_hash_table_new(g_str_hash, g_str_equal);
 	GString *found = g_string_new(NULL);
 
-	g_string_append(out, "times count from the flow's first line; \"*\" marks its own lines\n");
+	if (sub->instances)
+		g_string_append(out, "times count from the flow's first line; "
+				     "\"*\" marks its own lines\n");
 	for (guint i = 0; i < ex->lines->len; i++) {
 		const struct log_line *line = line_at(ex, i);
 		const char *cause;
@@ -390,21 +394,26 @@
 	g_hash_table_unref(said);
 }
 
-bool explain_write(struct explain *ex, const char *request, const char *flow, GString *out)
+bool explain_write(struct explain *ex, const struct explain_question *q, GString *out)
 {
-	struct subject sub = { new_set(), new_set(), new_set(), 0, 0 };
+	struct subject sub = { new_set(), new_set(), new_set(), q->at_ms, q->at_ms };
 	bool found;
 
 	correct_clocks(ex);
 	g_ptr_array_sort(ex->lines, compare_lines);
-	find_flows(ex, request, flow, &sub);
+	find_flows(ex, q->request, q->flow, &sub);
 	found = g_hash_table_size(sub.flows) > 0;
 	if (found) {
-		find_subject(ex, &sub);
+		find_subject(ex, &sub, q->at_ms);
+		write_subject(ex, &sub, out);
+	} else if (q->at_ms) {
+		/* Its packets may have come to an instance that did not run. */
+		g_clear_pointer(&sub.instances, g_hash_table_unref);
+		g_string_append(out, "no line names it; what instances wrote at that time\n");
 		write_subject(ex, &sub, out);
 	}
 	g_hash_table_unref(sub.flows);
 	g_hash_table_unref(sub.targets);
-	g_hash_table_unref(sub.instances);
-	return found;
+	g_clear_pointer(&sub.instances, g_hash_table_unref);
+	return found || q->at_ms;
 }
--- a/explain.h
+++ b/explain.h
@@ -22,10 +22,20 @@
 size_t explain_read(struct explain *ex, const char *file, const char *text, size_t len,
 		    GString *complaints);
 
+struct explain_question {
+	const char *request; /* id of the request, NULL for none */
+	const char *flow;    /* a part of the flow's id: the caller's address and port */
+	int64_t at_ms;	     /* Unix time in ms of the failure, 0 when it is not known */
+};
+
 /*
- * Appends the lines that bear on the request with the id @request, or on flows whose id contains
- * @flow, in order of time, and the causes that they show. Returns false when there are none.
+ * Appends the lines that bear on the request or on flows of the question, in order of time, and the
+ * causes that they show. Without such lines, what instances wrote about themselves at the time of
+ * the failure. Returns false when there is nothing to write.
  */
-bool explain_write(struct explain *ex, const char *request, const char *flow, GString *out);
+bool explain_write(struct explain *ex, const struct explain_question *q, GString *out);
+
+/* Parses a time as log lines have it, 2026-01-01T00:00:00.000Z, into Unix time in ms. */
+bool explain_parse_time(const char *text, int64_t *ms);
 
 #endif
--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -2,9 +2,11 @@
  * Plays days of the emulator before real instances: the whole path over platform/, with packets,
  * entries and calls that are written apart from it. Guards the promises under faults by fixed
  * seeds; a variant with beliefs that are 10 s old must break one, so that the checks can fail.
+ * Also follows docs/OPERATIONS.md from failed requests to their causes in the instances' logs.
  */
 #include <glib.h>
 #include <stdbool.h>
+#include <string.h>
 
 struct day {
 	const char *name;
@@ -20,35 +22,148 @@
 	  "--seconds 24 --net 24 --faults --seed 5 "
 	  "--only store-silent,store-busy,config,target-release",
 	  false },
+	{ "stale-reads-and-lost-answers",
+	  "--seconds 20 --net 25 --faults --seed 3 "
+	  "--only store-stale,store-lost,config,target-release",
+	  false },
+	{ "moving-callers-and-slow-targets",
+	  "--seconds 16 --net 26 --faults --seed 4 --only shift,target-slow,stop", false },
 	{ "drains-with-old-beliefs",
 	  "--seconds 16 --net 23 --faults --seed 3 --only target-release --watch-pause 10000",
 	  true },
 };
 
-static void test_day(gconstpointer data)
+struct outcome {
+	char *dir; /* settings, logs and failed tries */
+	char *report;
+	bool ok;
+};
+
+static struct outcome play(const char *args)
 {
-	const struct day *day = data;
+	struct outcome oc;
 	GError *error = NULL;
-	char *dir = g_dir_make_tmp("edge-XXXXXX", &error);
-	char *command = g_strdup_printf("build/world --dir %s %s", dir, day->args);
-	char *clean = g_strdup_printf("rm -rf %s", dir);
-	char *out = NULL;
+	char *command;
 	int status = -1;
 
+	oc.dir = g_dir_make_tmp("edge-XXXXXX", &error);
 	g_assert_no_error(error);
-	g_spawn_command_line_sync(command, &out, NULL, &status, &error);
+	command = g_strdup_printf("build/world --dir %s %s", oc.dir, args);
+	g_spawn_command_line_sync(command, &oc.report, NULL, &status, &error);
 	g_assert_no_error(error);
-	g_test_message("%s", out);
-	if (day->breaks)
-		g_assert_nonnull(g_strstr_len(out, -1, "DRAIN: "));
-	else
-		g_assert_nonnull(g_strstr_len(out, -1, " breaches=0 "));
-	g_assert_true(g_spawn_check_wait_status(status, NULL) == !day->breaks);
+	oc.ok = g_spawn_check_wait_status(status, NULL);
+	g_test_message("%s", oc.report);
+	g_free(command);
+	return oc;
+}
+
+static void release(struct outcome *oc)
+{
+	char *clean = g_strdup_printf("rm -rf %s", oc->dir);
+
 	g_spawn_command_line_sync(clean, NULL, NULL, NULL, NULL);
 	g_free(clean);
-	g_free(command);
-	g_free(out);
-	g_free(dir);
+	g_free(oc->report);
+	g_free(oc->dir);
+}
+
+static void test_day(gconstpointer data)
+{
+	const struct day *day = data;
+	struct outcome oc = play(day->args);
+
+	if (day->breaks)
+		g_assert_nonnull(g_strstr_len(oc.report, -1, "DRAIN: "));
+	else
+		g_assert_nonnull(g_strstr_len(oc.report, -1, " breaches=0 "));
+	g_assert_true(oc.ok == !day->breaks);
+	release(&oc);
+}
+
+/* Words of a line of failed-tries.txt. */
+enum { TRY_TIME, TRY_REQUEST, TRY_FLOW, TRY_HOW, TRY_WORDS };
+
+/* A kind of failed request: a day on which it happens, and what explain must say of it. */
+struct failure {
+	const char *name;
+	const char *args;
+	const char *how;   /* the failed tries that are followed */
+	const char *event; /* this line and cause are shown for each of them */
+	const char *cause;
+};
+
+static const struct failure failures[] = {
+	{ "target-crashed", "--seconds 14 --net 27 --faults --seed 2 --only target-dark",
+	  "reset-by-instance", "belief=dead", "its target did not answer" },
+	{ "instance-cut-off", "--seconds 14 --net 28 --faults --seed 2 --only pause", "deadline",
+	  "state=resumed", "had not run for a while" },
+	{ "route-withdrawn",
+	  "--seconds 20 --net 29 --faults --seed 2 --callers 240 --work 100 --only config",
+	  "reset-by-instance", "event=config", "the configuration dropped its route" },
+};
+
+/* What explain prints, as on the page: by the request's id, or by the caller's address and port. */
+static char *explain(const char *dir, char **try)
+{
+	char *by_id = g_strdup_printf("sh -c './jujubestage explain --request %s --at %s "
+				      "%s/edge-*.log'",
+				      try[TRY_REQUEST], try[TRY_TIME], dir);
+	char *by_flow = g_strdup_printf("sh -c './jujubestage explain --flow %s --at %s "
+					"%s/edge-*.log'",
+					try[TRY_FLOW], try[TRY_TIME], dir);
+	char *commands[] = { by_id, by_flow };
+	char *out = NULL;
+
+	for (int i = 0; i < 2 && (!out || g_str_has_prefix(out, "no line names it")); i++) {
+		int status = -1;
+
+		g_free(out);
+		g_spawn_command_line_sync(commands[i], &out, NULL, &status, NULL);
+		g_assert_true(g_spawn_check_wait_status(status, NULL));
+	}
+	g_free(by_id);
+	g_free(by_flow);
+	return out;
+}
+
+/*
+ * Guards the way from a failed request to its cause: a line that was not written, or that lacks the
+ * flow, leaves the on-call engineer without an answer.
+ */
+static void test_failure(gconstpointer data)
+{
+	const struct failure *fl = data;
+	struct outcome oc = play(fl->args);
+	char *path = g_build_filename(oc.dir, "failed-tries.txt", NULL);
+	char *text;
+	char **tries;
+	guint nr = 0;
+	guint explained = 0;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	tries = g_strsplit(text, "\n", 0);
+	for (char **at = tries; *at; at++) {
+		char **words = g_strsplit(*at, " ", TRY_WORDS);
+		char *out;
+
+		if (g_strv_length(words) == TRY_WORDS && !strcmp(words[TRY_HOW], fl->how)) {
+			out = explain(oc.dir, words);
+			nr++;
+			if (strstr(out, fl->event) && strstr(out, fl->cause))
+				explained++;
+			else
+				g_test_message("%s\n%s", *at, out);
+			g_free(out);
+		}
+		g_strfreev(words);
+	}
+	g_test_message("%u of %u tries explained", explained, nr);
+	g_assert_cmpuint(nr, >=, 1);
+	g_assert_cmpuint(explained, ==, nr);
+	g_strfreev(tries);
+	g_free(text);
+	g_free(path);
+	release(&oc);
 }
 
 int main(int argc, char **argv)
@@ -60,5 +175,11 @@
 		g_test_add_data_func(path, &days[i], test_day);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(failures); i++) {
+		char *path = g_strconcat("/edge/explain/", failures[i].name, NULL);
+
+		g_test_add_data_func(path, &failures[i], test_failure);
+		g_free(path);
+	}
 	return g_test_run();
 }
--- a/t/test-logs.c
+++ b/t/test-logs.c
@@ -70,6 +70,7 @@
 	const char *logs[2];
 	const char *request;
 	const char *flow;
+	const char *at;
 	const char *expected[4]; /* in this order in the output; none when nothing is found */
 	const char *complaint;
 };
@@ -134,6 +135,22 @@
 	  .complaint = "0.log:1: no time: not a line of an instance's log\n"
 		       "0.log:3: malformed time\n0.log:4: no event: the line is cut short\n"
 		       "1.log:1: no time: not a line of an instance's log\n" },
+	/* The process that would have logged it did not run. */
+	{ .name = "unseen-at-a-time",
+	  .logs = { AT("01.000", "a") "process state=ready targets=4\n" AT(
+			    "03.000", "a") "process state=resumed late_ms=1900 flows=2\n",
+		    AT("02.000", "b") "open " FLOW "target=i-1\n" },
+	  .request = "r8",
+	  .at = "2026-01-01T00:00:02.000Z",
+	  .expected = { "no line names it", "state=resumed", "had not run for a while" } },
+	/* The instance stopped running after the flow's last line. */
+	{ .name = "paused-later",
+	  .logs = { AT("01.000", "a") "open " FLOW "target=i-1\n" AT(
+			    "25.000", "a") "process state=resumed late_ms=1900 flows=2\n",
+		    "" },
+	  .flow = "100.64.0.7:40001",
+	  .at = "2026-01-01T00:00:24.000Z",
+	  .expected = { "event=open", "state=resumed", "had not run for a while" } },
 	{ .name = "unknown-request",
 	  .logs = { AT("01.000", "a") "open " FLOW "target=i-1\n", "" },
 	  .request = "r9" },
@@ -147,8 +164,12 @@
 		struct explain *ex = explain_new();
 		GString *complaints = g_string_new(NULL);
 		GString *out = g_string_new(NULL);
+		struct explain_question q = { c->request, c->flow, 0 };
 		const char *at;
 
+		if (c->at)
+			g_assert_true(explain_parse_time(c->at, &q.at_ms));
+
 		for (int i = 0; i < 2; i++) {
 			int nr = order ? 1 - i : i;
 
@@ -157,7 +178,7 @@
 		}
 		if (!order)
 			g_assert_cmpstr(complaints->str, ==, c->complaint ? c->complaint : "");
-		g_assert_true(explain_write(ex, c->request, c->flow, out) == !!c->expected[0]);
+		g_assert_true(explain_write(ex, &q, out) == !!c->expected[0]);
 		at = out->str;
 		for (size_t i = 0; i < G_N_ELEMENTS(c->expected) && c->expected[i]; i++) {
 			at = strstr(at, c->expected[i]);
--- a/t/world/caller.c
+++ b/t/world/caller.c
@@ -170,11 +170,29 @@
 	cl->next_ms = w->now_ms + 20 + wrandom(w, PAUSE_MS);
 }
 
-/* The flow has ended without an answer: the request is tried again where that is allowed. */
-static void flow_failed(struct world *w, struct caller *cl)
+static void note_failed_try(struct world *w, const struct caller *cl, const char *how)
+{
+	GDateTime *now = g_date_time_new_now_utc();
+	char *time = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.000Z");
+
+	g_string_append_printf(w->failed_tries, "%s %s %u.%u.%u.%u:%u %s\n", time, cl->id,
+			       cl->ip >> 24, cl->ip >> 16 & 255, cl->ip >> 8 & 255, cl->ip & 255,
+			       cl->sport, how);
+	g_free(time);
+	g_date_time_unref(now);
+}
+
+/*
+ * The flow has ended without an answer, as @how says: the request is tried again where that is
+ * allowed.
+ */
+static void flow_failed(struct world *w, struct caller *cl, const char *how)
 {
 	bool may_have_run = cl->sent;
 
+	if (cl->busy)
+		note_failed_try(w, cl, how);
+
 	drop_flow(cl);
 	if (!cl->busy)
 		return;
@@ -283,6 +301,24 @@
 	take_answer(w, cl);
 }
 
+static struct target *target_by_ip(struct world *w, uint32_t ip)
+{
+	for (guint i = 0; i < w->targets->len; i++) {
+		if (world_ip(PART_TARGET, (i + 1) >> 8, (i + 1) & 255) == ip)
+			return g_ptr_array_index(w->targets, i);
+	}
+	return NULL;
+}
+
+static bool all_instances_calm(const struct world *w)
+{
+	for (guint i = 0; i < w->instances->len; i++) {
+		if (!instance_calm(w, g_ptr_array_index(w->instances, i)))
+			return false;
+	}
+	return true;
+}
+
 /* A reset that an instance made has no sum. */
 static void take_reset(struct world *w, struct caller *cl, const struct wpacket *pkt, uint32_t from)
 {
@@ -299,7 +335,15 @@
 	    instance_calm(w, inst) && cl->dport == w->route_port)
 		breach(w, "FLOW: instance %u reset a flow of caller %u whose target %s lives",
 		       inst->nr, cl->nr, target_id(cl->target));
-	flow_failed(w, cl);
+	/* A target answers packets of a flow that it does not hold with a reset. */
+	if (!inst && cl->state == OPEN && cl->target && target_by_ip(w, from) != cl->target &&
+	    target_calm(w, cl->target) && all_instances_calm(w))
+		breach(w, "FLOW: packets of caller %u for %s reached another target", cl->nr,
+		       target_id(cl->target));
+	if (cl->state == OPENING)
+		flow_failed(w, cl, inst ? "refused-by-instance" : "refused-by-target");
+	else
+		flow_failed(w, cl, inst ? "reset-by-instance" : "reset-by-target");
 }
 
 static void accept_flow(struct world *w, struct caller *cl, const struct wpacket *pkt,
@@ -315,15 +359,6 @@
 		put_request(cl);
 }
 
-static struct target *target_by_ip(struct world *w, uint32_t ip)
-{
-	for (guint i = 0; i < w->targets->len; i++) {
-		if (world_ip(PART_TARGET, (i + 1) >> 8, (i + 1) & 255) == ip)
-			return g_ptr_array_index(w->targets, i);
-	}
-	return NULL;
-}
-
 static void take_packet(struct world *w, struct caller *cl, const struct wpacket *pkt,
 			uint32_t from)
 {
@@ -420,10 +455,11 @@
 		send_packet(w, cl, FLAG_SYN, cl->opening_seq, cl->copies, NULL, 0);
 	}
 	if (cl->busy && w->now_ms - cl->asked_ms >= DEADLINE_MS) {
+		note_failed_try(w, cl, "deadline");
 		drop_flow(cl);
 		finish(w, cl, false);
 	} else if (cl->state == OPENING && w->now_ms - cl->opened_ms >= OPEN_MS) {
-		flow_failed(w, cl);
+		flow_failed(w, cl, "not-accepted");
 	}
 	if (cl->state == OPEN)
 		sender_run(&cl->out, w->now_ms, send_part, &cs);
@@ -431,6 +467,16 @@
 		ask(w, cl);
 }
 
+void callers_shift(struct world *w)
+{
+	for (guint i = 0; i < w->callers->len; i++) {
+		struct caller *cl = g_ptr_array_index(w->callers, i);
+
+		if (wrandom(w, 2))
+			cl->dc = (cl->dc + 1) % DATA_CENTRES;
+	}
+}
+
 void callers_timer(struct world *w)
 {
 	for (guint i = 0; i < w->callers->len; i++)
--- a/t/world/store.c
+++ b/t/world/store.c
@@ -9,8 +9,9 @@
 
 #include "world.h"
 
-#define SLOW_MS 600
-#define PAGE	5 /* entries of a list's part: small, so that parts are used */
+#define SLOW_MS	     600
+#define LOST_PERCENT 30
+#define PAGE	     5 /* entries of a list's part: small, so that parts are used */
 
 struct object {
 	char *kind;
@@ -38,6 +39,10 @@
 	int64_t oldest; /* history starts here */
 	int listeners[64];
 	unsigned int nr_listeners;
+	GPtrArray *frozen; /* what stale reads get, NULL while they are fresh */
+	int64_t frozen_rev;
+	int64_t frozen_until_ms;
+	int64_t lost_until_ms;
 } store;
 
 static void free_object(gpointer data)
@@ -72,8 +77,44 @@
 			open_listener(world_ip(PART_STORE, 0, i), STORE_PORT, 16);
 }
 
+void store_freeze_reads(struct world *w, int64_t until_ms)
+{
+	(void)w;
+	if (store.frozen)
+		return;
+	store.frozen = g_ptr_array_new_with_free_func(free_object);
+	for (guint i = 0; i < store.objects->len; i++) {
+		const struct object *obj = g_ptr_array_index(store.objects, i);
+		struct object *copy = g_memdup2(obj, sizeof(*obj));
+
+		copy->kind = g_strdup(obj->kind);
+		copy->name = g_strdup(obj->name);
+		copy->spec = g_strdup(obj->spec);
+		g_ptr_array_add(store.frozen, copy);
+	}
+	store.frozen_rev = store.rev;
+	store.frozen_until_ms = until_ms;
+}
+
+void store_lose_answers(struct world *w, int64_t until_ms)
+{
+	(void)w;
+	store.lost_until_ms = until_ms;
+	for (guint i = 0; i < store.connections->len; i++) {
+		struct connection *conn = g_ptr_array_index(store.connections, i);
+
+		conn->silent |= conn->kind != NULL;
+	}
+}
+
+static void thaw(void)
+{
+	g_clear_pointer(&store.frozen, g_ptr_array_unref);
+}
+
 void store_release(void)
 {
+	thaw();
 	for (unsigned int i = 0; i < store.nr_listeners; i++)
 		close(store.listeners[i]);
 	g_ptr_array_unref(store.connections);
@@ -118,13 +159,20 @@
 	g_ptr_array_remove_fast(store.connections, conn);
 }
 
+/* The revision that reads see: all calls of instances accept stale answers. */
+static int64_t read_rev(void)
+{
+	return store.frozen ? store.frozen_rev : store.rev;
+}
+
 static bool append_events(const struct connection *conn, GString *body)
 {
+	const GPtrArray *objects = store.frozen ? store.frozen : store.objects;
 	bool any = false;
 
 	g_string_append(body, "{\"events\":[");
-	for (guint i = 0; i < store.objects->len; i++) {
-		const struct object *obj = g_ptr_array_index(store.objects, i);
+	for (guint i = 0; i < objects->len; i++) {
+		const struct object *obj = g_ptr_array_index(objects, i);
 
 		if (strcmp(obj->kind, conn->kind) != 0 || obj->rev <= conn->watch_rev)
 			continue;
@@ -133,7 +181,7 @@
 		g_string_append_printf(body, ",\"deleted\":%s}", obj->deleted ? "true" : "false");
 		any = true;
 	}
-	g_string_append_printf(body, "],\"as_of\":%" G_GINT64_FORMAT "}", store.rev);
+	g_string_append_printf(body, "],\"as_of\":%" G_GINT64_FORMAT "}", read_rev());
 	return any;
 }
 
@@ -153,13 +201,14 @@
 static void list_objects(struct world *w, struct connection *conn, const char *kind,
 			 const char *after)
 {
+	GPtrArray *objects = store.frozen ? store.frozen : store.objects;
 	GString *body = g_string_new("{\"items\":[");
 	unsigned int nr = 0;
 	bool more = false;
 
-	g_ptr_array_sort(store.objects, by_name);
-	for (guint i = 0; i < store.objects->len; i++) {
-		const struct object *obj = g_ptr_array_index(store.objects, i);
+	g_ptr_array_sort(objects, by_name);
+	for (guint i = 0; i < objects->len; i++) {
+		const struct object *obj = g_ptr_array_index(objects, i);
 
 		if (obj->deleted || strcmp(obj->kind, kind) != 0 || strcmp(obj->name, after) <= 0)
 			continue;
@@ -175,7 +224,7 @@
 			g_string_append(body, ",{\"meta\":7,\"spec\":[]}");
 	}
 	g_string_append_printf(body, "],\"more\":%s,\"as_of\":%" G_GINT64_FORMAT "}",
-			       more ? "true" : "false", store.rev);
+			       more ? "true" : "false", read_rev());
 	if (conn->inst->store_mode == STORE_SLOW) {
 		conn->answer = body;
 		conn->due_ms = w->now_ms + SLOW_MS;
@@ -230,6 +279,10 @@
 	case STORE_SLOW:
 		break;
 	}
+	if (w->now_ms < store.lost_until_ms && wrandom(w, 100) < LOST_PERCENT) {
+		conn->silent = true;
+		return;
+	}
 	if (sscanf(conn->request->str, "GET /objects/%511s", path) != 1) {
 		write_answer(conn, "404 Not Found", "{}");
 		return;
@@ -358,6 +411,10 @@
 
 void store_timer(struct world *w)
 {
+	if (store.frozen && w->now_ms >= store.frozen_until_ms) {
+		thaw();
+		wake_watches(w);
+	}
 	for (guint i = store.connections->len; i-- > 0;) {
 		struct connection *conn = g_ptr_array_index(store.connections, i);
 
--- a/t/world/target.c
+++ b/t/world/target.c
@@ -9,10 +9,17 @@
 #define PREFIX_BYTES 8
 #define LAPSE_MS     2300 /* three heartbeats: a silent target's entry is removed then */
 #define LINGER_MS    4500 /* a draining target leaves this long after it said so */
-#define WORK_MS	     5
 #define HALF_OPEN_MS 2000
 #define BLOCKERS     4
 
+/* A datagram that waits because its target is slow. */
+struct held {
+	int64_t due_ms;
+	uint32_t from;
+	size_t size;
+	uint8_t bytes[MAX_PACKET + PREFIX_BYTES];
+};
+
 enum target_state { LIVE, DRAINING, DARK, CLOSED };
 
 struct tflow {
@@ -46,6 +53,9 @@
 	int listener;
 	int blockers[BLOCKERS]; /* connections that fill the queue of a dark target */
 	GPtrArray *flows;
+	GQueue held; /* struct held, the earliest first */
+	int64_t delay_ms;
+	int64_t slow_until_ms;
 };
 
 static void free_flow(gpointer data)
@@ -102,6 +112,7 @@
 		if (tgt->blockers[i] > 0)
 			close(tgt->blockers[i]);
 	}
+	g_queue_clear_full(&tgt->held, g_free);
 	g_ptr_array_unref(tgt->flows);
 	g_free(tgt->service);
 	g_free(tgt);
@@ -141,6 +152,7 @@
 void target_crash(struct world *w, struct target *tgt, bool dark)
 {
 	g_ptr_array_set_size(tgt->flows, 0);
+	g_queue_clear_full(&tgt->held, g_free);
 	tgt->state = dark ? DARK : CLOSED;
 	tgt->gone_ms = w->now_ms + LAPSE_MS;
 	if (!dark) {
@@ -159,9 +171,16 @@
 	}
 }
 
+void target_slow_down(struct target *tgt, int64_t delay_ms, int64_t until_ms)
+{
+	tgt->delay_ms = delay_ms;
+	tgt->slow_until_ms = until_ms;
+}
+
 void target_restart_same(struct world *w, struct target *tgt)
 {
 	g_ptr_array_set_size(tgt->flows, 0);
+	g_queue_clear_full(&tgt->held, g_free);
 	tgt->born_ms++;
 	tgt->disturbed_ms = w->now_ms + CONTACT_MS;
 	publish(w, tgt);
@@ -264,7 +283,7 @@
 		breach(w, "ONCE: request %s ran again at %s", id, tgt->id);
 	g_hash_table_add(w->ran, g_strdup(id));
 	g_string_assign(flow->answering, id);
-	flow->answer_ms = w->now_ms + WORK_MS;
+	flow->answer_ms = w->now_ms + w->work_ms;
 }
 
 static void take_data(struct world *w, struct target *tgt, struct tflow *flow,
@@ -306,6 +325,39 @@
 	}
 }
 
+static void take_datagram(struct world *w, struct target *tgt, const uint8_t *bytes, size_t size,
+			  uint32_t from)
+{
+	struct wpacket pkt;
+	uint64_t prefix = 0;
+
+	for (int i = 0; i < PREFIX_BYTES; i++)
+		prefix = prefix << 8 | bytes[i];
+	if (prefix && prefix != tgt->wire_id)
+		return;
+	if (!wpacket_decode(&pkt, bytes + PREFIX_BYTES, size - PREFIX_BYTES) ||
+	    !wpacket_sum_ok(&pkt)) {
+		breach(w, "UNASKED: %s got a packet that no caller wrote so", tgt->id);
+		return;
+	}
+	if (pkt.flags & FLAG_SYN)
+		take_opening(w, tgt, &pkt, from);
+	else
+		take_packet(w, tgt, &pkt);
+}
+
+static void hold(struct world *w, struct target *tgt, const uint8_t *bytes, size_t size,
+		 uint32_t from)
+{
+	struct held *held = g_new0(struct held, 1);
+
+	held->due_ms = w->now_ms + tgt->delay_ms;
+	held->from = from;
+	held->size = size;
+	memcpy(held->bytes, bytes, size);
+	g_queue_push_tail(&tgt->held, held);
+}
+
 static void receive(struct world *w, struct target *tgt)
 {
 	uint8_t bytes[MAX_PACKET + PREFIX_BYTES];
@@ -315,8 +367,6 @@
 
 	for (;;) {
 		socklen_t len = sizeof(from);
-		struct wpacket pkt;
-		uint64_t prefix = 0;
 
 		size = recvfrom(tgt->fd, bytes, sizeof(bytes), MSG_DONTWAIT,
 				(struct sockaddr *)&from, &len);
@@ -325,19 +375,23 @@
 		if (tgt->state == DARK)
 			continue;
 		memcpy(&ip, (char *)&from + 4, sizeof(ip));
-		for (int i = 0; i < PREFIX_BYTES; i++)
-			prefix = prefix << 8 | bytes[i];
-		if (prefix && prefix != tgt->wire_id)
-			continue;
-		if (!wpacket_decode(&pkt, bytes + PREFIX_BYTES, (size_t)size - PREFIX_BYTES) ||
-		    !wpacket_sum_ok(&pkt)) {
-			breach(w, "UNASKED: %s got a packet that no caller wrote so", tgt->id);
-			continue;
-		}
-		if (pkt.flags & FLAG_SYN)
-			take_opening(w, tgt, &pkt, GUINT32_FROM_BE(ip));
+		ip = GUINT32_FROM_BE(ip);
+		/* Packets keep their order when the target is fast again. */
+		if (w->now_ms < tgt->slow_until_ms || tgt->held.length)
+			hold(w, tgt, bytes, (size_t)size, ip);
 		else
-			take_packet(w, tgt, &pkt);
+			take_datagram(w, tgt, bytes, (size_t)size, ip);
+	}
+}
+
+static void take_held(struct world *w, struct target *tgt)
+{
+	struct held *held;
+
+	while ((held = g_queue_peek_head(&tgt->held)) && w->now_ms >= held->due_ms) {
+		g_queue_pop_head(&tgt->held);
+		take_datagram(w, tgt, held->bytes, held->size, held->from);
+		g_free(held);
 	}
 }
 
@@ -420,6 +474,7 @@
 
 static void run_target(struct world *w, struct target *tgt)
 {
+	take_held(w, tgt);
 	for (guint i = tgt->flows->len; i-- > 0;) {
 		struct tflow *flow = g_ptr_array_index(tgt->flows, i);
 
--- a/t/world/world.c
+++ b/t/world/world.c
@@ -1,6 +1,10 @@
 /*
  * world --dir DIR [--binary FILE] [--instances N] [--callers N] [--seconds S] [--faults] [--seed N]
- *     [--net N] [--watch-pause MS] [--only FAULT,...]
+ *     [--net N] [--watch-pause MS] [--only FAULT,...] [--work MS]
+ *
+ * Writes to DIR the settings and logs of the instances and failed-tries.txt: a line for each try of
+ * a request that was not answered, with the time, the request's id, the caller's address and port,
+ * and how it ended.
  *
  * Plays a day before real instances. With --faults, a seed decides which faults strike when; they
  * come in series and overlap, and the last QUIET_S seconds are left to recover. Prints a report and
@@ -32,6 +36,7 @@
 #define MEASURED_S     2    /* seconds in which nearly all must be served again */
 #define SERVED_PERCENT 95   /* of the measured seconds */
 #define FAULT_GAP_MS   1200 /* between faults, at most */
+#define MAX_STALE_MS   3000 /* age of stale reads on the platform's bench */
 
 struct options {
 	const char *binary;
@@ -318,6 +323,31 @@
 		   (int)(until - w->now_ms));
 }
 
+static void disturb_stores(struct world *w, int64_t until)
+{
+	for (guint i = 0; i < w->instances->len; i++) {
+		struct instance *inst = g_ptr_array_index(w->instances, i);
+
+		inst->store_disturbed_ms = MAX(inst->store_disturbed_ms, until + CONTACT_MS);
+	}
+}
+
+/* Faults of the store's answers, for all instances alike. */
+static void fault_answers(struct world *w, enum fault_kind kind)
+{
+	int64_t until = w->now_ms + 1000 + wrandom(w, MAX_STALE_MS - 1000);
+
+	if (kind == FAULT_STORE_STALE)
+		store_freeze_reads(w, until);
+	else
+		store_lose_answers(w, until);
+	disturb_stores(w, until);
+	note_event(w,
+		   kind == FAULT_STORE_STALE ? "reads of the store stand still for %d ms"
+					     : "the store loses answers for %d ms",
+		   (int)(until - w->now_ms));
+}
+
 static void fault_target(struct world *w, enum fault_kind kind)
 {
 	struct target *tgt = any_target(w);
@@ -336,6 +366,10 @@
 		note_event(w, "target %s drains", target_id(tgt));
 		target_drain(w, tgt);
 		break;
+	case FAULT_TARGET_SLOW:
+		note_event(w, "target %s is slow", target_id(tgt));
+		target_slow_down(tgt, 50 + wrandom(w, 600), w->now_ms + 500 + wrandom(w, 2500));
+		return;
 	default:
 		note_event(w, "target %s restarts under its id", target_id(tgt));
 		target_restart_same(w, tgt);
@@ -374,10 +408,17 @@
 
 static void inject(struct world *w, const bool *only)
 {
-	enum fault_kind kind = wrandom(w, FAULT_KINDS);
+	enum fault_kind nr = FAULT_LOSSY + 1;
+	enum fault_kind kind;
 
+	/* Kinds after FAULT_LOSSY came later; days without them draw as they did before. */
+	for (kind = nr; kind < FAULT_KINDS; kind++) {
+		if (only[kind])
+			nr = kind + 1;
+	}
+	kind = wrandom(w, nr);
 	while (!only[kind])
-		kind = (kind + 1) % FAULT_KINDS;
+		kind = (kind + 1) % nr;
 	switch (kind) {
 	case FAULT_KILL:
 	case FAULT_PAUSE:
@@ -389,6 +430,7 @@
 	case FAULT_TARGET_REFUSING:
 	case FAULT_TARGET_RELEASE:
 	case FAULT_TARGET_REBORN:
+	case FAULT_TARGET_SLOW:
 		fault_target(w, kind);
 		break;
 	case FAULT_STORE_SILENT:
@@ -397,6 +439,14 @@
 	case FAULT_STORE_SLOW:
 		fault_store(w, kind);
 		break;
+	case FAULT_STORE_STALE:
+	case FAULT_STORE_LOST:
+		fault_answers(w, kind);
+		break;
+	case FAULT_SHIFT:
+		callers_shift(w);
+		note_event(w, "half of the callers move to the other data centre");
+		break;
 	case FAULT_STORE_FORGETS:
 		store_forget();
 		note_event(w, "the store forgets its history");
@@ -525,6 +575,15 @@
 	       w->nr_breaches, asked, served);
 }
 
+static void write_failed_tries(const struct world *w, const struct options *opts)
+{
+	char *path = g_strdup_printf("%s/failed-tries.txt", opts->dir);
+
+	if (!g_file_set_contents(path, w->failed_tries->str, -1, NULL))
+		g_error("cannot write %s", path);
+	g_free(path);
+}
+
 static const char *const fault_names[FAULT_KINDS] = {
 	[FAULT_KILL] = "kill",
 	[FAULT_PAUSE] = "pause",
@@ -543,6 +602,10 @@
 	[FAULT_CONFIG] = "config",
 	[FAULT_WITHDRAW] = "withdraw",
 	[FAULT_LOSSY] = "lossy",
+	[FAULT_STORE_STALE] = "store-stale",
+	[FAULT_STORE_LOST] = "store-lost",
+	[FAULT_TARGET_SLOW] = "target-slow",
+	[FAULT_SHIFT] = "shift",
 };
 
 /* Names separated by commas; all kinds for "". Returns false when none is known. */
@@ -619,6 +682,7 @@
 	world_net = (unsigned int)atoi(option(argc, argv, "--net", "0")) % 30;
 	signal(SIGPIPE, SIG_IGN);
 	w.random = opts.seed;
+	w.work_ms = (unsigned int)atoi(option(argc, argv, "--work", "5"));
 	w.now_ms = monotonic_ms();
 	w.start_ms = w.now_ms;
 	w.end_ms = w.start_ms + (int64_t)opts.seconds * 1000;
@@ -628,6 +692,7 @@
 	w.ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w.breaches = g_string_new(NULL);
 	w.timeline = g_string_new(NULL);
+	w.failed_tries = g_string_new(NULL);
 	w.route_port = 443;
 	w.extra_port = 8443;
 	w.withdrawn_dc = -1;
@@ -645,6 +710,7 @@
 	end_processes(&w);
 	measured(&w, &opts, &asked, &served);
 	print_report(&w, &opts, asked, served);
+	write_failed_tries(&w, &opts);
 	ok = !w.nr_breaches && asked && served * 100 >= asked * SERVED_PERCENT;
 	for (guint i = 0; i < w.callers->len; i++)
 		caller_free(g_ptr_array_index(w.callers, i));
--- a/t/world/world.h
+++ b/t/world/world.h
@@ -73,6 +73,10 @@
 	FAULT_CONFIG,
 	FAULT_WITHDRAW,
 	FAULT_LOSSY,
+	FAULT_STORE_STALE,
+	FAULT_STORE_LOST,
+	FAULT_TARGET_SLOW,
+	FAULT_SHIFT,
 	FAULT_KINDS,
 };
 
@@ -109,6 +113,7 @@
 	GPtrArray *targets; /* also those that are gone, for late packets */
 	GPtrArray *callers;
 	unsigned int next_target;
+	unsigned int work_ms;  /* of a target on a request */
 	uint16_t route_port;   /* of the route that always exists */
 	uint16_t extra_port;   /* of a route that comes and goes, 0 while it is not in force */
 	uint16_t dropped_port; /* of the latest one that went */
@@ -123,6 +128,7 @@
 	GString *breaches;
 	unsigned int nr_breaches;
 	GString *timeline;
+	GString *failed_tries; /* a line each: time, request, caller's address and port, how */
 	unsigned int asked, served, failed, refused;
 	unsigned int second_asked[256], second_served[256];
 };
@@ -165,6 +171,10 @@
 void store_put(struct world *w, const char *kind, const char *name, const char *spec_json);
 void store_delete(struct world *w, const char *kind, const char *name);
 void store_forget(void);
+/* Until @until_ms, reads that accept stale answers get what the store holds now. */
+void store_freeze_reads(struct world *w, int64_t until_ms);
+/* Until @until_ms, some calls get no answer; watches that wait now never get theirs. */
+void store_lose_answers(struct world *w, int64_t until_ms);
 void store_fds(struct world *w, GArray *fds);
 void store_ready(struct world *w, const struct pollfd *fd);
 void store_timer(struct world *w);
@@ -176,6 +186,8 @@
 /* @dark: nothing is answered any more; else its ports are closed. */
 void target_crash(struct world *w, struct target *tgt, bool dark);
 void target_restart_same(struct world *w, struct target *tgt);
+/* Until @until_ms, the target handles each packet @delay_ms after it came. */
+void target_slow_down(struct target *tgt, int64_t delay_ms, int64_t until_ms);
 bool target_takes_faults(const struct target *tgt);
 /* Whether the target lives and nothing has disturbed it lately. */
 bool target_calm(const struct world *w, const struct target *tgt);
@@ -190,6 +202,8 @@
 void callers_fds(struct world *w, GArray *fds);
 void callers_ready(struct world *w, const struct pollfd *fd);
 void callers_timer(struct world *w);
+/* Half of the callers move to the other data centre, with their flows. */
+void callers_shift(struct world *w);
 void caller_free(struct caller *cl);
 
 #endif
--- a/timeutil.c
+++ b/timeutil.c
@@ -1,23 +1,23 @@
 #include "timeutil.h"
 
-static struct timespec monotonic_now(struct clock *clock)
+static struct timespec boottime_now(struct clock *clock)
 {
 	struct timespec ts;
 
 	(void)clock;
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return ts;
 }
 
-static const struct clock_ops monotonic_ops = {
-	.now = monotonic_now,
+static const struct clock_ops boottime_ops = {
+	.now = boottime_now,
 };
 
-static struct clock monotonic_clock = {
-	.ops = &monotonic_ops,
+static struct clock boottime_clock = {
+	.ops = &boottime_ops,
 };
 
 struct clock *system_clock(void)
 {
-	return &monotonic_clock;
+	return &boottime_clock;
 }
--- a/timeutil.h
+++ b/timeutil.h
@@ -12,7 +12,7 @@
 struct clock;
 
 struct clock_ops {
-	/* Returns the current monotonic time. */
+	/* Returns the current time; it never goes back. */
 	struct timespec (*now)(struct clock *clock);
 };
 
@@ -27,7 +27,7 @@
 	return clock->ops->now(clock);
 }
 
-/* The system's CLOCK_MONOTONIC. */
+/* The system's CLOCK_BOOTTIME, which also counts the time in which a machine is suspended. */
 struct clock *system_clock(void);
 
 /* Whole milliseconds of @ts. */
