placing: hold back cold targets only where a bound is stated

Cause: with every target cold at once, each instance opened one flow a second to each of them and reset all other openings, though the configuration states no bound (cold_per_s is 0). After 4 s without any target, 509 of 880 requests of the next two seconds failed.

Change: the adapter reads cold_per_s of a service; the gap between openings to a cold target holds only for services that state a bound above 0. Warm targets still go first.

Ruled out: that a bound of 0 is enforced (cold_per_s x 1.5 + 5 a second).

--- a/placing.c
+++ b/placing.c
@@ -42,6 +42,13 @@
 	return g_hash_table_contains(pl->withdrawn, GUINT_TO_POINTER(data_centre));
 }
 
+/* One service's part of a choice. */
+struct search {
+	const struct placing *pl;
+	const struct placing_request *req;
+	bool cold_bounded; /* the service states how many requests a cold target bears */
+};
+
 static bool was_tried(const struct placing_request *req, const struct reg_target *tgt)
 {
 	for (size_t i = 0; i < req->nr_tried; i++) {
@@ -51,16 +58,19 @@
 	return false;
 }
 
-static enum tier tier_of(const struct placing *pl, const struct placing_request *req,
-			 const struct reg_target *tgt)
+static enum tier tier_of(const struct search *srch, const struct reg_target *tgt)
 {
+	const struct placing_request *req = srch->req;
+	const struct placing *pl = srch->pl;
+
 	if (tgt->phase != TARGET_READY || tgt->trust == TRUST_DEAD || was_tried(req, tgt) ||
 	    placing_is_withdrawn(pl, tgt->data_centre))
 		return TIER_NONE;
-	if (ts_cmp(req->now, tgt->warm_at) < 0)
-		return ts_diff_ms(req->now, tgt->cold_opened) < pl->opts.cold_gap_ms ? TIER_NONE
-										     : TIER_COLD;
-	return tgt->trust == TRUST_SUSPECTED ? TIER_SUSPECTED : TIER_WARM;
+	if (ts_cmp(req->now, tgt->warm_at) >= 0)
+		return tgt->trust == TRUST_SUSPECTED ? TIER_SUSPECTED : TIER_WARM;
+	if (srch->cold_bounded && ts_diff_ms(req->now, tgt->cold_opened) < pl->opts.cold_gap_ms)
+		return TIER_NONE;
+	return TIER_COLD;
 }
 
 /* Rank of a target for a flow, the same on all instances. */
@@ -70,13 +80,13 @@
 }
 
 /* Lower is better: flows and requests for each slot, or a rank that only the hash decides. */
-static uint64_t cost_of(const struct placing *pl, const struct placing_request *req,
-			const struct reg_target *tgt)
+static uint64_t cost_of(const struct search *srch, const struct reg_target *tgt)
 {
+	const struct placing *pl = srch->pl;
 	uint64_t cost;
 
 	if (pl->opts.policy == PLACING_RENDEZVOUS)
-		cost = rank_of(req, tgt);
+		cost = rank_of(srch->req, tgt);
 	else
 		cost = 1000ull * (tgt->open_flows + 1 + BUSY_WEIGHT * tgt->busy_flows) / tgt->slots;
 	if (tgt->data_centre != pl->opts.data_centre)
@@ -91,20 +101,19 @@
 	uint32_t ties;
 };
 
-static void consider(struct placing *pl, const struct placing_request *req, struct reg_target *tgt,
-		     struct candidate *best)
+static void consider(const struct search *srch, struct reg_target *tgt, struct candidate *best)
 {
-	enum tier tier = tier_of(pl, req, tgt);
+	enum tier tier = tier_of(srch, tgt);
 	uint64_t cost;
 
 	if (tier == TIER_NONE || tier > best->tier)
 		return;
-	cost = cost_of(pl, req, tgt);
+	cost = cost_of(srch, tgt);
 	if (tier == best->tier && cost > best->cost)
 		return;
 	if (tier == best->tier && cost == best->cost) {
 		/* Each of n equal candidates is kept with probability 1/n. */
-		if (random_below(pl->opts.random, ++best->ties))
+		if (random_below(srch->pl->opts.random, ++best->ties))
 			return;
 		best->tgt = tgt;
 		return;
@@ -112,13 +121,13 @@
 	*best = (struct candidate){ .tgt = tgt, .tier = tier, .cost = cost, .ties = 1 };
 }
 
-static struct reg_target *choose_among(struct placing *pl, const GPtrArray *list,
-				       const struct placing_request *req, enum tier *tier)
+static struct reg_target *choose_among(const struct search *srch, const GPtrArray *list,
+				       enum tier *tier)
 {
 	struct candidate best = { .tier = TIER_NONE };
 
 	for (guint i = 0; i < list->len; i++)
-		consider(pl, req, g_ptr_array_index(list, i), &best);
+		consider(srch, g_ptr_array_index(list, i), &best);
 	*tier = best.tier;
 	return best.tgt;
 }
@@ -147,8 +156,8 @@
  * target that is new, or whose flows have just ended because it is failing, would get every opening
  * of every instance.
  */
-static struct reg_target *choose_of_two(struct placing *pl, const GPtrArray *list,
-					const struct placing_request *req, enum tier *tier)
+static struct reg_target *choose_of_two(const struct search *srch, const GPtrArray *list,
+					enum tier *tier)
 {
 	struct candidate best = { .tier = TIER_NONE };
 	struct draw own = { 0 };
@@ -157,30 +166,32 @@
 	for (guint i = 0; i < list->len; i++) {
 		struct reg_target *tgt = g_ptr_array_index(list, i);
 
-		if (tier_of(pl, req, tgt) == TIER_WARM)
-			offer(tgt->data_centre == pl->opts.data_centre ? &own : &other, tgt,
-			      rank_of(req, tgt));
+		if (tier_of(srch, tgt) == TIER_WARM)
+			offer(tgt->data_centre == srch->pl->opts.data_centre ? &own : &other, tgt,
+			      rank_of(srch->req, tgt));
 	}
 	for (int i = 0; i < 2 && own.picks[i]; i++)
-		consider(pl, req, own.picks[i], &best);
+		consider(srch, own.picks[i], &best);
 	for (int i = 0; i < (own.picks[0] ? 1 : 2) && other.picks[i]; i++)
-		consider(pl, req, other.picks[i], &best);
+		consider(srch, other.picks[i], &best);
 	*tier = best.tier;
 	return best.tgt;
 }
 
-static struct reg_target *choose_of_service(struct placing *pl, const GPtrArray *list,
-					    const struct placing_request *req, enum tier *tier)
+static struct reg_target *choose_of_service(struct placing *pl, const struct placing_request *req,
+					    const struct route_service *svc, enum tier *tier)
 {
+	const struct search srch = { pl, req, svc->cold_bounded };
+	const GPtrArray *list = registry_by_service(pl->opts.registry, svc->service);
 	struct reg_target *tgt = NULL;
 
 	*tier = TIER_NONE;
 	if (!list)
 		return NULL;
 	if (pl->opts.policy == PLACING_TWO_CHOICES)
-		tgt = choose_of_two(pl, list, req, tier);
+		tgt = choose_of_two(&srch, list, tier);
 	/* Without a warm target, all are looked at. */
-	return tgt ? tgt : choose_among(pl, list, req, tier);
+	return tgt ? tgt : choose_among(&srch, list, tier);
 }
 
 /* The service that a weighted draw falls on. */
@@ -211,9 +222,7 @@
 		const struct route_service *svc = &rule->services[(first + i) % rule->nr_services];
 
 		if (svc->weight)
-			best = choose_of_service(
-				pl, registry_by_service(pl->opts.registry, svc->service), req,
-				&best_tier);
+			best = choose_of_service(pl, req, svc, &best_tier);
 	}
 	if (best && best_tier == TIER_COLD)
 		best->cold_opened = req->now;
--- a/placing.h
+++ b/placing.h
@@ -26,7 +26,8 @@
 	/* A target elsewhere counts as this many times as loaded, in percent; 100 for no
 	 * preference. */
 	uint32_t remote_percent;
-	uint32_t cold_gap_ms; /* between openings of one instance to a cold target */
+	/* Between openings of one instance to a cold target of a service that states a bound. */
+	uint32_t cold_gap_ms;
 	struct random *random;
 };
 
--- a/routing.h
+++ b/routing.h
@@ -17,6 +17,7 @@
 struct route_service {
 	uint32_t service; /* symbol */
 	uint32_t weight;
+	bool cold_bounded; /* it states how many requests a second a cold target bears */
 };
 
 struct route_rule {
--- a/t/test-adapter.c
+++ b/t/test-adapter.c
@@ -121,7 +121,8 @@
 	json_object_put(obj);
 }
 
-#define ROUTE(more) "{\"hostname\":\"198.18.0.1\",\"path_prefix\":\"/8443/\"," more "}"
+#define ROUTE(more)	"{\"hostname\":\"198.18.0.1\",\"path_prefix\":\"/8443/\"," more "}"
+#define SERVICES(bound) ",\"services\":[{\"name\":\"a\"" bound "}]"
 #define CONFIG(version, routes)                                                                    \
 	"{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":" version ",\"routes\":[" routes "]}" \
 	"}"
@@ -132,10 +133,24 @@
 	const char *why;
 	bool newer;
 	unsigned int services; /* of the route */
+	bool cold_bounded;     /* the first of them */
 };
 
 static const struct config_case configs[] = {
 	{ "one-service", CONFIG("7", ROUTE("\"service\":\"a\"")), NULL, true, 1 },
+	{ "bound-on-cold-targets",
+	  "{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":7,\"routes\":[" ROUTE(
+		  "\"service\":\"a\"") "]" SERVICES(",\"cold_per_s\":12.5") "}}",
+	  NULL, true, 1, true },
+	/* Taken for a bound, it would hold back all openings when every target is cold. */
+	{ "no-bound-on-cold-targets",
+	  "{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":7,\"routes\":[" ROUTE(
+		  "\"service\":\"a\"") "]" SERVICES(",\"cold_per_s\":0.0") "}}",
+	  NULL, true, 1, false },
+	{ "services-without-a-bound",
+	  "{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":7,\"routes\":[" ROUTE(
+		  "\"service\":\"a\"") "]" SERVICES("") "}}",
+	  NULL, true, 1, false },
 	{ "split",
 	  CONFIG("7", ROUTE("\"traffic_split\":[{\"service\":\"a\",\"weight\":9},"
 			    "{\"service\":\"b\",\"weight\":1}]")),
@@ -170,8 +185,10 @@
 		routing_commit(rt, (struct timespec){ 2, 0 });
 	rule = routing_find(rt, (struct endpoint){ 0xc6120001, 8443 });
 	g_assert_true(!!rule == !!c->services);
-	if (rule)
+	if (rule) {
 		g_assert_cmpuint(rule->nr_services, ==, c->services);
+		g_assert_true(rule->services[0].cold_bounded == c->cold_bounded);
+	}
 	routing_free(rt);
 	symbols_release(&syms);
 	json_object_put(obj);
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -127,7 +127,7 @@
 	beliefs_target(&fix->beliefs, &info, fix->now);
 }
 
-/* config VERSION PORT=SERVICE:WEIGHT[+SERVICE:WEIGHT] ... */
+/* config VERSION PORT=SERVICE:WEIGHT[:cold-bound][+SERVICE:WEIGHT] ... */
 static void do_config(struct fixture *fix, char **words)
 {
 	struct routing *rt = fix->beliefs.routing;
@@ -143,14 +143,16 @@
 
 		rule.address.port = (uint16_t)g_ascii_strtoull(halves[0], NULL, 10);
 		for (char **part = parts; *part; part++) {
-			char **pair = g_strsplit(*part, ":", 2);
-			uint32_t weight = (uint32_t)g_ascii_strtoull(pair[1], NULL, 10);
+			char **fields = g_strsplit(*part, ":", 3);
+			uint32_t weight = (uint32_t)g_ascii_strtoull(fields[1], NULL, 10);
 
 			rule.services[rule.nr_services++] = (struct route_service){
-				symbols_intern(&fix->beliefs.symbols, pair[0]), weight
+				.service = symbols_intern(&fix->beliefs.symbols, fields[0]),
+				.weight = weight,
+				.cold_bounded = fields[2] && !strcmp(fields[2], "cold-bound"),
 			};
 			rule.weight_sum += weight;
-			g_strfreev(pair);
+			g_strfreev(fields);
 		}
 		routing_add_route(rt, &rule);
 		g_strfreev(parts);
@@ -646,7 +648,13 @@
 	  "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\nsyn c3 443 => forward i-b\n"
 	  "wait 2000 => probe i-b\n"
 	  "syn c4 443 => forward i-a\n" },
-	{ "cold/one-opening-in-each-gap", "target i-a web home cold=5000\nconfig 1 443=web:1\n"
+	/* All targets come back at once after a loss of power: callers must not wait for warm ones.
+	 */
+	{ "cold/no-gap-without-a-stated-bound",
+	  "target i-a web home cold=5000\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\nsyn c2 443 => forward i-a\nsyn c3 443 => forward i-a\n" },
+	{ "cold/one-opening-in-each-gap", "target i-a web home cold=5000\n"
+					  "config 1 443=web:1:cold-bound\n"
 					  "syn c1 443 => forward i-a\n"
 					  "syn c2 443 => reset c2\n"
 					  "wait 1000 => probe i-a\n"
