admission: refuse openings that would be answered too late

Nothing was refused while a target might take it, and priorities were not read.

Change: an instance keeps a moving average of the response times that it sees at each target. An opening is reset before it reaches a target when that target, and up to three others, would take too long against the route's slo_ms; the lowest priority goes first. Averages older than 1 s and answers shorter than 256 bytes, which may be rejections, say nothing. Established flows go on. placing an opening now creates no entry for one that is refused.

An average needs some answers, so the first 0.5 s of an overload are still lost.

--- /dev/null
+++ b/admission.c
@@ -0,0 +1,61 @@
+#include "admission.h"
+
+#include "timeutil.h"
+
+#define USEC_PER_MSEC 1000
+/* Weight of a new sample, 1 in 8: an instance sees some 10 to 40 answers of a target a second. */
+#define SAMPLE_SHIFT 3
+/* An average without samples for this long says nothing: openings are admitted and show it anew. */
+#define FRESH_MS 1000
+#define PERMILLE 1000u
+/*
+ * Refusal begins when requests take this part of their goal and is complete at BAND_PERMILLE more.
+ * A narrow band makes instances admit and refuse by turns, because a wait is seen only afterwards.
+ */
+#define START_PERMILLE 400u
+#define BAND_PERMILLE  200u
+/* Each priority above the lowest one bears this much more, so that the lowest goes first. */
+#define STEP_PERMILLE	150u
+#define LOWEST_PRIORITY 2u
+
+static bool is_fresh(const struct response_time *rt, struct timespec now)
+{
+	return rt->average_us && ts_diff_ms(now, rt->taken) < FRESH_MS;
+}
+
+void response_time_add(struct response_time *rt, int64_t ms, struct timespec now)
+{
+	uint32_t us = (uint32_t)(ms * USEC_PER_MSEC) + 1;
+
+	if (is_fresh(rt, now))
+		rt->average_us += us / (1u << SAMPLE_SHIFT) - rt->average_us / (1u << SAMPLE_SHIFT);
+	else
+		rt->average_us = us;
+	rt->taken = now;
+}
+
+uint32_t response_time_ms(const struct response_time *rt, struct timespec now)
+{
+	return is_fresh(rt, now) ? rt->average_us / USEC_PER_MSEC : 0;
+}
+
+uint32_t admission_refused_permille(const struct admission_class *cls, uint32_t response_ms)
+{
+	uint32_t above = cls->priority < LOWEST_PRIORITY ? LOWEST_PRIORITY - cls->priority : 0;
+	uint64_t start = START_PERMILLE + STEP_PERMILLE * above;
+	uint64_t part;
+
+	if (!cls->goal_ms)
+		return 0;
+	part = (uint64_t)response_ms * PERMILLE / cls->goal_ms;
+	if (part <= start)
+		return 0;
+	if (part >= start + BAND_PERMILLE)
+		return PERMILLE;
+	return (uint32_t)((part - start) * PERMILLE / BAND_PERMILLE);
+}
+
+bool admission_refuses(const struct admission_class *cls, uint32_t response_ms, uint64_t digest)
+{
+	return digest % PERMILLE < admission_refused_permille(cls, response_ms);
+}
--- a/edge-counters.h
+++ b/edge-counters.h
@@ -21,6 +21,7 @@
 	X(flows_untracked, "openings placed without an entry because the flow table is full")      \
 	X(refused_no_route, "openings reset because no route has their address")                   \
 	X(refused_no_target, "openings reset because no target may take them")                     \
+	X(refused_overloaded, "openings reset because the target would answer too late")           \
 	X(resets_route_withdrawn, "flows reset because their route was withdrawn")                 \
 	X(resets_target_dead, "flows reset because their target was found dead")                   \
 	X(resets_target_gone, "flows reset because their target is not listed any more")           \
--- a/explain.c
+++ b/explain.c
@@ -253,7 +253,8 @@
 struct subject {
 	GHashTable *flows;
 	GHashTable *targets;
-	GHashTable *instances; /* NULL for all */
+	GHashTable *instances;
+	bool all_instances; /* whatever @instances has */
 	int64_t from_ms;
 	int64_t to_ms;
 };
@@ -322,7 +323,7 @@
 	if (is_event(line, "target"))
 		return in_set(sub->targets, line, "target");
 	return (is_event(line, "process") || is_event(line, "config") || is_event(line, "store")) &&
-	       (!sub->instances || g_hash_table_contains(sub->instances, line->instance->str));
+	       (sub->all_instances || g_hash_table_contains(sub->instances, line->instance->str));
 }
 
 /* What a line says about why requests fail. */
@@ -338,6 +339,7 @@
 	{ "reset", "reason", "route_withdrawn", "the configuration dropped its route" },
 	{ "refuse", "reason", "no_route", "no route had its address" },
 	{ "refuse", "reason", "no_target", "no target could take it" },
+	{ "refuse", "reason", "overloaded", "its target would have answered too late" },
 	{ "refuse", "reason", "route_withdrawn", "the configuration dropped its route" },
 	{ "target", "belief", "dead", "a target of the flow was found dead" },
 	{ "target", "belief", "gone", "a target of the flow left the list" },
@@ -372,7 +374,7 @@
 	GHashTable *said = g_hash_table_new(g_str_hash, g_str_equal);
 	GString *found = g_string_new(NULL);
 
-	if (sub->instances)
+	if (!sub->all_instances)
 		g_string_append(out, "times count from the flow's first line; "
 				     "\"*\" marks its own lines\n");
 	for (guint i = 0; i < ex->lines->len; i++) {
@@ -396,7 +398,13 @@
 
 bool explain_write(struct explain *ex, const struct explain_question *q, GString *out)
 {
-	struct subject sub = { new_set(), new_set(), new_set(), q->at_ms, q->at_ms };
+	struct subject sub = {
+		.flows = new_set(),
+		.targets = new_set(),
+		.instances = new_set(),
+		.from_ms = q->at_ms,
+		.to_ms = q->at_ms,
+	};
 	bool found;
 
 	correct_clocks(ex);
@@ -408,12 +416,12 @@
 		write_subject(ex, &sub, out);
 	} else if (q->at_ms) {
 		/* Its packets may have come to an instance that did not run. */
-		g_clear_pointer(&sub.instances, g_hash_table_unref);
+		sub.all_instances = true;
 		g_string_append(out, "no line names it; what instances wrote at that time\n");
 		write_subject(ex, &sub, out);
 	}
 	g_hash_table_unref(sub.flows);
 	g_hash_table_unref(sub.targets);
-	g_clear_pointer(&sub.instances, g_hash_table_unref);
+	g_hash_table_unref(sub.instances);
 	return found || q->at_ms;
 }
--- a/registry.h
+++ b/registry.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <time.h>
 
+#include "admission.h"
 #include "packet.h"
 #include "symbol.h"
 
@@ -65,6 +66,7 @@
 	struct timespec last_answer; /* latest sign of life from traffic alone */
 	struct timespec suspected;   /* since when */
 	struct timespec next_probe;
+	struct response_time responses;
 	struct timespec cold_opened; /* latest opening sent while cold */
 	unsigned int rounds_failed;  /* of probes since the suspicion */
 	unsigned int probing;	     /* probes under way */
--- a/routing.h
+++ b/routing.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <time.h>
 
+#include "admission.h"
 #include "packet.h"
 #include "symbol.h"
 
@@ -25,6 +26,7 @@
 	struct route_service services[ROUTE_MAX_SERVICES];
 	size_t nr_services;
 	uint32_t weight_sum;
+	struct admission_class demand;
 };
 
 struct routing;
--- a/steer.c
+++ b/steer.c
@@ -6,6 +6,11 @@
 #include "steer-internal.h"
 
 #define SWEEP_MS 1000
+/*
+ * A shorter answer may be a rejection, which a full target gives at once: it says nothing about how
+ * long requests wait. An HTTP answer without a body takes some 200 bytes.
+ */
+#define SHORT_ANSWER_BYTES 256
 /* Data repeated sooner than this is no retransmission; callers wait for 200 ms. */
 #define STALL_MIN_MS 150
 /*
@@ -19,6 +24,7 @@
 	static const char *const names[] = {
 		[RESET_NO_ROUTE] = "no_route",
 		[RESET_NO_TARGET] = "no_target",
+		[RESET_OVERLOADED] = "overloaded",
 		[RESET_ROUTE_WITHDRAWN] = "route_withdrawn",
 		[RESET_TARGET_DEAD] = "target_dead",
 		[RESET_TARGET_GONE] = "target_gone",
@@ -35,6 +41,8 @@
 		return &cnt->refused_no_route;
 	case RESET_NO_TARGET:
 		return &cnt->refused_no_target;
+	case RESET_OVERLOADED:
+		return &cnt->refused_overloaded;
 	case RESET_ROUTE_WITHDRAWN:
 		return &cnt->resets_route_withdrawn;
 	case RESET_TARGET_DEAD:
@@ -109,36 +117,63 @@
 	}
 }
 
-/* Sends the opening to one more target. Returns false when there is none. */
-static bool try_target(struct steer *st, struct steer_flow *flow, const struct route_rule *rule,
-		       const char *why, struct timespec now)
+static void send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
+			 const char *why, struct timespec now)
 {
 	struct opening *op = flow->opening;
-	struct placing_request req = { .rule = rule, .now = now };
-	struct reg_target *tgt;
 	char text[FLOW_TEXT_LEN];
 
-	if (op->nr_tried == PLACING_MAX_TRIED)
-		return false;
-	memcpy(req.tried, op->tried, sizeof(req.tried));
-	req.nr_tried = op->nr_tried;
-	req.flow_digest = steer_flow_digest(&flow->addr);
-	tgt = placing_choose(st->opts.placing, &req);
-	if (!tgt)
-		return false;
 	op->tried[op->nr_tried] = tgt;
 	op->sent[op->nr_tried++] = now;
 	if (!flow->target)
 		steer_flow_set_target(flow, tgt);
 	decision_log(DECISION_OPEN, now,
-		     "flow=%s target=%s why=%s try=%zu open=%u busy=%u trust=%s config=%llu "
-		     "target_age_ms=%lld",
+		     "flow=%s target=%s why=%s try=%zu open=%u busy=%u response_ms=%u trust=%s "
+		     "config=%llu target_age_ms=%lld",
 		     flow_text(&flow->addr, text), tgt->id->str, why, op->nr_tried, tgt->open_flows,
-		     tgt->busy_flows, target_trust_name(tgt->trust),
+		     tgt->busy_flows, response_time_ms(&tgt->responses, now),
+		     target_trust_name(tgt->trust),
 		     (unsigned long long)routing_version(st->opts.routing),
 		     (long long)ts_diff_ms(now, tgt->changed));
 	send_to(st, tgt, flow->addr.service, op->bytes, op->size);
-	return true;
+}
+
+/* Sends the opening to one more target. Returns false when there is none. */
+static bool try_target(struct steer *st, struct steer_flow *flow, const struct route_rule *rule,
+		       const char *why, struct timespec now)
+{
+	const struct opening *op = flow->opening;
+	struct placing_request req = { .rule = rule, .now = now };
+	struct reg_target *tgt;
+
+	if (op->nr_tried == PLACING_MAX_TRIED)
+		return false;
+	memcpy(req.tried, op->tried, sizeof(req.tried));
+	req.nr_tried = op->nr_tried;
+	req.flow_digest = steer_flow_digest(&flow->addr);
+	tgt = placing_choose(st->opts.placing, &req);
+	if (tgt)
+		send_opening(st, flow, tgt, why, now);
+	return tgt;
+}
+
+/* The target of a new opening, or NULL with the reason to refuse it. */
+static struct reg_target *admit(struct steer *st, struct placing_request *req,
+				enum reset_reason *reason)
+{
+	struct reg_target *tgt;
+
+	*reason = RESET_NO_TARGET;
+	while (req->nr_tried < PLACING_MAX_TRIED) {
+		tgt = placing_choose(st->opts.placing, req);
+		if (!tgt || !admission_refuses(&req->rule->demand,
+					       response_time_ms(&tgt->responses, req->now),
+					       req->flow_digest))
+			return tgt;
+		*reason = RESET_OVERLOADED;
+		req->tried[req->nr_tried++] = tgt;
+	}
+	return NULL;
 }
 
 static struct reg_target *last_tried(const struct opening *op)
@@ -208,35 +243,33 @@
 			  const struct route_rule *rule, struct timespec now)
 {
 	struct flow_addr addr = { pkt->caller, pkt->service };
-	struct steer_flow *flow = steer_flow_add(st, &addr, FLOW_OPENING, now);
 	struct placing_request req = {
 		.rule = rule,
 		.now = now,
 		.flow_digest = steer_flow_digest(&addr),
 	};
-	struct reg_target *tgt;
+	enum reset_reason reason;
+	struct reg_target *tgt = admit(st, &req, &reason);
+	struct steer_flow *flow;
 
 	st->opts.counters->openings++;
 	histogram_add(&st->belief_ages, ts_diff_ms(now, *st->opts.targets_heard));
+	if (!tgt) {
+		refuse(st, pkt, reason, now);
+		return;
+	}
+	flow = steer_flow_add(st, &addr, FLOW_OPENING, now);
 	if (!flow) {
 		/* The table is full: the mark alone carries the flow. */
 		st->opts.counters->flows_untracked++;
-		tgt = placing_choose(st->opts.placing, &req);
-		if (tgt)
-			send_to(st, tgt, pkt->service, pkt->bytes, pkt->size);
-		else
-			refuse(st, pkt, RESET_NO_TARGET, now);
+		send_to(st, tgt, pkt->service, pkt->bytes, pkt->size);
 		return;
 	}
 	flow->opening = g_malloc0(sizeof(struct opening) + pkt->size);
 	flow->opening->size = pkt->size;
 	memcpy(flow->opening->bytes, pkt->bytes, pkt->size);
 	flow->opening_seq = pkt->seq;
-	if (!try_target(st, flow, rule, "first", now)) {
-		refuse(st, pkt, RESET_NO_TARGET, now);
-		steer_flow_remove(st, flow);
-		return;
-	}
+	send_opening(st, flow, tgt, "first", now);
 	if (st->opts.verify_ms)
 		queue_verify(st, flow, now);
 }
@@ -340,6 +373,9 @@
 	if (!flow->has_ack || (int32_t)(pkt->ack - flow->ack) > 0) {
 		if (flow->has_ack)
 			suspicion_answered(st, flow->target, now);
+		if (flow->busy && pkt->ack - flow->ack >= SHORT_ANSWER_BYTES)
+			response_time_add(&flow->target->responses, ts_diff_ms(now, flow->asked),
+					  now);
 		else
 			flow->seq_end = pkt->seq;
 		flow->has_ack = true;
--- a/t/test-adapter.c
+++ b/t/test-adapter.c
@@ -134,6 +134,7 @@
 	bool newer;
 	unsigned int services; /* of the route */
 	bool cold_bounded;     /* the first of them */
+	struct admission_class demand;
 };
 
 static const struct config_case configs[] = {
@@ -151,6 +152,16 @@
 	  "{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":7,\"routes\":[" ROUTE(
 		  "\"service\":\"a\"") "]" SERVICES("") "}}",
 	  NULL, true, 1, false },
+	{ "goal-and-priority",
+	  CONFIG("7", ROUTE("\"service\":\"a\",\"slo_ms\":150,\"priority\":1")),
+	  NULL,
+	  true,
+	  1,
+	  false,
+	  { 150, 1 } },
+	/* A goal that cannot be read must not refuse callers. */
+	{ "goal-of-text", CONFIG("7", ROUTE("\"service\":\"a\",\"slo_ms\":\"150\"")), NULL, true,
+	  1 },
 	{ "split",
 	  CONFIG("7", ROUTE("\"traffic_split\":[{\"service\":\"a\",\"weight\":9},"
 			    "{\"service\":\"b\",\"weight\":1}]")),
@@ -188,6 +199,8 @@
 	if (rule) {
 		g_assert_cmpuint(rule->nr_services, ==, c->services);
 		g_assert_true(rule->services[0].cold_bounded == c->cold_bounded);
+		g_assert_cmpuint(rule->demand.goal_ms, ==, c->demand.goal_ms);
+		g_assert_cmpuint(rule->demand.priority, ==, c->demand.priority);
 	}
 	routing_free(rt);
 	symbols_release(&syms);
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -127,7 +127,7 @@
 	beliefs_target(&fix->beliefs, &info, fix->now);
 }
 
-/* config VERSION PORT=SERVICE:WEIGHT[:cold-bound][+SERVICE:WEIGHT] ... */
+/* config VERSION PORT=SERVICE:WEIGHT[:cold-bound][+SERVICE:WEIGHT] ... [goal=MS], for all routes */
 static void do_config(struct fixture *fix, char **words)
 {
 	struct routing *rt = fix->beliefs.routing;
@@ -137,8 +137,15 @@
 		return;
 	}
 	for (char **word = words + 2; *word; word++) {
-		struct route_rule rule = { .address = { SERVICE_IP, 0 } };
-		char **halves = g_strsplit(*word, "=", 2);
+		struct route_rule rule = {
+			.address = { SERVICE_IP, 0 },
+			.demand = { number(words, "goal", 0), 2 },
+		};
+		char **halves;
+
+		if (g_str_has_prefix(*word, "goal="))
+			continue;
+		halves = g_strsplit(*word, "=", 2);
 		char **parts = g_strsplit(halves[1], "+", 0);
 
 		rule.address.port = (uint16_t)g_ascii_strtoull(halves[0], NULL, 10);
@@ -642,6 +649,36 @@
 	{ "evac/everything-withdrawn-refuses-at-once",
 	  ONE_TARGET "withdraw home\nsyn c1 443 => reset c1\n" },
 
+	/* A request that would be late is refused before it reaches a target; flows go on. */
+	{ "overload/openings-are-refused-and-flows-go-on",
+	  "target i-a web home\nconfig 1 443=web:1 goal=100\n"
+	  "syn c1 443 => forward i-a\n"
+	  "pkt c1 443 mark=i-a => forward i-a\npkt c1 443 mark=i-a len=50 => forward i-a\n"
+	  "wait 90\npkt c1 443 mark=i-a seq=151 ack=2501 => forward i-a\n"
+	  "syn c2 443 => reset c2\nsyn c2 443 => reset c2\n"
+	  "pkt c1 443 mark=i-a seq=151 ack=2501 len=50 => forward i-a\n"
+	  /* The average is too old to refuse anybody. */
+	  "wait 1000\nsyn c3 443 => forward i-a\n" },
+	{ "overload/another-target-goes-before-refusing",
+	  "target i-a web home\nconfig 1 443=web:1 goal=100\n"
+	  "syn c1 443 => forward i-a\n"
+	  "pkt c1 443 mark=i-a => forward i-a\npkt c1 443 mark=i-a len=50 => forward i-a\n"
+	  "wait 90\npkt c1 443 mark=i-a seq=151 ack=2501 => forward i-a\n"
+	  "target i-b web away\nsyn c2 443 => forward i-b\n" },
+	/* A full target rejects at once: short times must not hide that requests wait there. */
+	{ "overload/rejections-do-not-count",
+	  "target i-a web home\nconfig 1 443=web:1 goal=100\n"
+	  "syn c1 443 => forward i-a\n"
+	  "pkt c1 443 mark=i-a => forward i-a\npkt c1 443 mark=i-a len=50 => forward i-a\n"
+	  "wait 90\npkt c1 443 mark=i-a seq=151 ack=701 => forward i-a\n"
+	  "syn c2 443 => forward i-a\n" },
+	{ "overload/without-a-goal-nothing-is-refused",
+	  "target i-a web home\nconfig 1 443=web:1\n"
+	  "syn c1 443 => forward i-a\n"
+	  "pkt c1 443 mark=i-a => forward i-a\npkt c1 443 mark=i-a len=50 => forward i-a\n"
+	  "wait 90\npkt c1 443 mark=i-a seq=151 ack=2501 => forward i-a\n"
+	  "syn c2 443 => forward i-a\n" },
+
 	/* Targets that have just started are not overloaded. */
 	{ "cold/warm-targets-go-first",
 	  "target i-a web home cold=2000\ntarget i-b web away\nconfig 1 443=web:1\n"
--- a/t/world/store.c
+++ b/t/world/store.c
@@ -109,7 +109,9 @@
 
 static void thaw(void)
 {
-	g_clear_pointer(&store.frozen, g_ptr_array_unref);
+	if (store.frozen)
+		g_ptr_array_unref(store.frozen);
+	store.frozen = NULL;
 }
 
 void store_release(void)
