placing: let the flow decide ties and the service of a split route

Cause: a copy of an opening that comes to another instance should find the same target, because two acceptances can leave the caller with the mark of the one that it has not taken. Equal loads of the two ranked targets were decided by chance, and so was the service of a split route. The test of the first passed because both instances of it drew the same random numbers; it failed as soon as one draw less was made.

Change: of two targets with equal load the one that ranks first is taken; the service of a split route is that of the flow's digest. A test for split routes is added. edge.c and loop.c open their libwebsockets context in one function, so edge logs the library's errors as structured lines too.

Ruled out: an effect on balance.

--- a/edge.c
+++ b/edge.c
@@ -397,22 +397,10 @@
 
 static int open_context(struct edge *edge)
 {
-	struct lws_context_creation_info info = {
-		.port = CONTEXT_PORT_NO_LISTEN,
-		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
-		.protocols = rawsource_protocols,
-		.vhost_name = "sources",
-		.uid = (uid_t)-1,
-		.gid = (gid_t)-1,
-	};
+	int ret = rawsource_context(&edge->context, &edge->vhost);
 
-	lws_set_log_level(LLL_ERR, NULL);
-	edge->context = lws_create_context(&info);
-	if (!edge->context)
-		return -ENOMEM;
-	edge->vhost = lws_create_vhost(edge->context, &info);
-	if (!edge->vhost)
-		return -ENOMEM;
+	if (ret)
+		return ret;
 	edge->probes = connprobes_new(edge->context, PROBE_TIMEOUT_MS, probed, edge);
 	return edge->probes ? 0 : -ENOMEM;
 }
--- a/loop.c
+++ b/loop.c
@@ -344,32 +344,12 @@
 		     signals_readable);
 }
 
-static void lws_line(int level, const char *line)
-{
-	size_t len = strcspn(line, "\n");
-
-	(void)level;
-	log_event(LOG_LEVEL_WARN, "event=libwebsockets text=\"%.*s\"", (int)len, line);
-}
-
 static int open_context(struct loop *loop)
 {
-	struct lws_context_creation_info info = {
-		.port = CONTEXT_PORT_NO_LISTEN,
-		.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
-		.protocols = rawsource_protocols,
-		.vhost_name = "sources",
-		.uid = (uid_t)-1,
-		.gid = (gid_t)-1,
-	};
+	int ret = rawsource_context(&loop->context, &loop->vhost);
 
-	lws_set_log_level(LLL_ERR, lws_line);
-	loop->context = lws_create_context(&info);
-	if (!loop->context)
-		return -ENOMEM;
-	loop->vhost = lws_create_vhost(loop->context, &info);
-	if (!loop->vhost)
-		return -ENOMEM;
+	if (ret)
+		return ret;
 	loop->probes = probes_new(loop->context, probed, loop);
 	return loop->probes ? 0 : -ENOMEM;
 }
--- a/placing.c
+++ b/placing.c
@@ -17,6 +17,8 @@
 #define BUSY_WEIGHT 2
 /* Leaves room for the factor of other data centres. */
 #define RANK_SHIFT 16
+/* The lower half of a flow's digest decides whether its opening is refused under overload. */
+#define DIGEST_HALF_BITS 32
 
 void placing_init(struct placing *pl, const struct placing_options *opts)
 {
@@ -47,6 +49,7 @@
 	const struct placing *pl;
 	const struct placing_request *req;
 	bool cold_bounded; /* the service states how many requests a cold target bears */
+	bool ranked;	   /* candidates come in the order of their rank, which decides ties */
 };
 
 static bool was_tried(const struct placing_request *req, const struct reg_target *tgt)
@@ -111,6 +114,8 @@
 	cost = cost_of(srch, tgt);
 	if (tier == best->tier && cost > best->cost)
 		return;
+	if (tier == best->tier && cost == best->cost && srch->ranked)
+		return;
 	if (tier == best->tier && cost == best->cost) {
 		/* Each of n equal candidates is kept with probability 1/n. */
 		if (random_below(srch->pl->opts.random, ++best->ties))
@@ -156,8 +161,7 @@
  * target that is new, or whose flows have just ended because it is failing, would get every opening
  * of every instance.
  */
-static struct reg_target *choose_of_two(const struct search *srch, const GPtrArray *list,
-					enum tier *tier)
+static struct reg_target *choose_of_two(struct search *srch, const GPtrArray *list, enum tier *tier)
 {
 	struct candidate best = { .tier = TIER_NONE };
 	struct draw own = { 0 };
@@ -170,10 +174,12 @@
 			offer(tgt->data_centre == srch->pl->opts.data_centre ? &own : &other, tgt,
 			      rank_of(srch->req, tgt));
 	}
+	srch->ranked = true;
 	for (int i = 0; i < 2 && own.picks[i]; i++)
 		consider(srch, own.picks[i], &best);
 	for (int i = 0; i < (own.picks[0] ? 1 : 2) && other.picks[i]; i++)
 		consider(srch, other.picks[i], &best);
+	srch->ranked = false;
 	*tier = best.tier;
 	return best.tgt;
 }
@@ -181,7 +187,7 @@
 static struct reg_target *choose_of_service(struct placing *pl, const struct placing_request *req,
 					    const struct route_service *svc, enum tier *tier)
 {
-	const struct search srch = { pl, req, svc->cold_bounded };
+	struct search srch = { .pl = pl, .req = req, .cold_bounded = svc->cold_bounded };
 	const GPtrArray *list = registry_by_service(pl->opts.registry, svc->service);
 	struct reg_target *tgt = NULL;
 
@@ -194,14 +200,18 @@
 	return tgt ? tgt : choose_among(&srch, list, tier);
 }
 
-/* The service that a weighted draw falls on. */
-static size_t draw_service(const struct placing *pl, const struct route_rule *rule)
+/*
+ * The service of a split route, by weight. The flow decides, so that a copy of its opening finds
+ * the same one on another instance: two acceptances by different targets are to be avoided.
+ */
+static size_t service_of(const struct placing_request *req)
 {
+	const struct route_rule *rule = req->rule;
 	uint32_t point;
 
 	if (!rule->weight_sum)
 		return 0;
-	point = random_below(pl->opts.random, rule->weight_sum);
+	point = (uint32_t)((req->flow_digest >> DIGEST_HALF_BITS) % rule->weight_sum);
 	for (size_t i = 0; i < rule->nr_services; i++) {
 		if (point < rule->services[i].weight)
 			return i;
@@ -213,11 +223,12 @@
 struct reg_target *placing_choose(struct placing *pl, const struct placing_request *req)
 {
 	const struct route_rule *rule = req->rule;
-	size_t first = draw_service(pl, rule);
+	size_t first = service_of(req);
 	struct reg_target *best = NULL;
 	enum tier best_tier = TIER_NONE;
 
-	/* The drawn service goes first; another one of the route only when it has no target. */
+	/* The service of the flow goes first; another one of the route only when it has no target.
+	 */
 	for (size_t i = 0; i < rule->nr_services && best_tier == TIER_NONE; i++) {
 		const struct route_service *svc = &rule->services[(first + i) % rule->nr_services];
 
--- a/rawsource.h
+++ b/rawsource.h
@@ -9,10 +9,14 @@
 	int fd;
 };
 
-/* The vhost must have these protocols. */
-extern const struct lws_protocols rawsource_protocols[];
+/*
+ * Creates a context without a listener and a vhost for the sources of its owner. libwebsockets logs
+ * through log_event(). Returns 0 or -ENOMEM; what was created is then left to the owner.
+ */
+int rawsource_context(struct lws_context **context, struct lws_vhost **vhost);
 
-/* Takes @fd, or passes on a negative errno. Returns 0 or a negative errno. */
+/* Takes @fd into a vhost of rawsource_context(), or passes on a negative errno. Returns 0 or a
+ * negative errno. */
 int rawsource_adopt(struct lws_vhost *vhost, struct rawsource *src, int fd,
 		    void (*readable)(struct rawsource *src));
 
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -758,6 +758,15 @@
 	{ "place/a-service-without-warm-targets-uses-cold-ones",
 	  "target i-a web home cold=5000\nconfig 1 443=web:1\nsyn c1 443 => forward i-a\n", 0,
 	  PLACING_TWO_CHOICES },
+	/* A copy that comes to another instance must not reach a second target. */
+	{ "place/split-routes-agree-on-two-instances",
+	  "target i-a web home\ntarget i-b other home\nconfig 1 443=web:1+other:1\n"
+	  "syn c1 443 => forward $1\nsyn c2 443 => forward $2\nsyn c3 443 => forward $3\n"
+	  "syn c4 443 => forward $4\nsyn c5 443 => forward $5\nsyn c6 443 => forward $6\n"
+	  "restart\n"
+	  "target i-a web home\ntarget i-b other home\nconfig 1 443=web:1+other:1\n"
+	  "syn c1 443 => forward $1\nsyn c2 443 => forward $2\nsyn c3 443 => forward $3\n"
+	  "syn c4 443 => forward $4\nsyn c5 443 => forward $5\nsyn c6 443 => forward $6\n" },
 	{ "place/second-service-when-the-first-has-no-target",
 	  "target i-b other home\nconfig 1 443=web:100+other:1\n"
 	  "syn c1 443 => forward i-b\nsyn c2 443 => forward i-b\n" },
