--- a/rawsource.c
+++ b/rawsource.c
@@ -57,7 +57,7 @@
 		.vh = vhost,
 		.type = LWS_ADOPT_RAW_FILE_DESC,
 		.fd.filefd = fd,
-		.vh_prot_name = rawsource_protocols[0].name,
+		.vh_prot_name = protocols[0].name,
 		.opaque = src,
 	};
 
