--- a/beliefs.c
+++ b/beliefs.c
@@ -40,6 +40,7 @@
 	steer.registry = bel->registry;
 	steer.routing = bel->routing;
 	bel->steer = steer_new(&steer);
+	bel->listed = g_hash_table_new(NULL, NULL);
 	bel->malformed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	bel->lapsed = g_hash_table_new_full(gstr_hash, gstr_equal, gstr_free, g_free);
 }
@@ -48,6 +49,7 @@
 {
 	g_hash_table_unref(bel->lapsed);
 	g_hash_table_unref(bel->malformed);
+	g_hash_table_unref(bel->listed);
 	steer_free(bel->steer);
 	placing_release(&bel->placing);
 	routing_free(bel->routing);
@@ -61,7 +63,7 @@
 		if (!bel->known[i])
 			return false;
 	}
-	return routing_ready(bel->routing);
+	return routing_ready(bel->routing) && routing_version(bel->routing) >= bel->config_wanted;
 }
 
 static bool may_be_back(const struct beliefs *bel, struct timespec now)
@@ -70,20 +72,34 @@
 	       ts_diff_ms(now, bel->store_regained) < LAPSE_GRACE_MS;
 }
 
+void beliefs_target_lapsed(struct beliefs *bel, const char *id, int64_t keep_ms,
+			   struct timespec now)
+{
+	struct reg_target *tgt = registry_by_id(bel->registry, id);
+	struct timespec due = ts_add_ms(now, keep_ms);
+
+	if (!tgt || tgt->phase == TARGET_GONE || g_hash_table_contains(bel->lapsed, tgt->id))
+		return;
+	registry_touch(bel->registry, tgt, bel->answer);
+	g_hash_table_insert(bel->lapsed, g_string_new(id), g_memdup2(&due, sizeof(due)));
+	decision_log(DECISION_TARGET, now, "target=%s belief=lapsed keep_ms=%lld", id,
+		     (long long)keep_ms);
+}
+
+int64_t beliefs_keep_ms(const struct beliefs *bel, const struct reg_target *tgt,
+			struct timespec now)
+{
+	const struct timespec *due = g_hash_table_lookup(bel->lapsed, tgt->id);
+
+	return due ? MAX(ts_diff_ms(*due, now), 0) : -1;
+}
+
 /* Keeps a target whose entry is missing until the time in which it may come back is over. */
 static void keep_lapsed(struct beliefs *bel, const char *id, struct timespec now)
 {
 	struct timespec due = ts_add_ms(bel->store_regained, LAPSE_GRACE_MS);
-	GString *key = g_string_new(id);
 
-	if (g_hash_table_contains(bel->lapsed, key)) {
-		g_string_free(key, TRUE);
-		return;
-	}
-	g_hash_table_insert(bel->lapsed, key, g_memdup2(&due, sizeof(due)));
-	decision_log(
-		DECISION_TARGET, now, "target=%s belief=lapsed store_back_ms=%lld keep_ms=%lld", id,
-		(long long)ts_diff_ms(now, bel->store_regained), (long long)ts_diff_ms(due, now));
+	beliefs_target_lapsed(bel, id, ts_diff_ms(due, now), now);
 }
 
 void beliefs_timer(struct beliefs *bel, struct timespec now)
@@ -96,12 +112,23 @@
 	while (g_hash_table_iter_next(&iter, &id, &due)) {
 		if (ts_cmp(now, *(struct timespec *)due) < 0)
 			continue;
-		registry_remove(bel->registry, ((GString *)id)->str, now);
+		registry_remove(bel->registry, ((GString *)id)->str, 0, now);
 		g_hash_table_iter_remove(&iter);
 	}
 	steer_timer(bel->steer, now);
 }
 
+void beliefs_answer(struct beliefs *bel, int64_t revision)
+{
+	bel->answer = revision;
+}
+
+void beliefs_complete(struct beliefs *bel, enum belief_kind kind, int64_t revision)
+{
+	bel->complete[kind] = MAX(bel->complete[kind], revision);
+	bel->known[kind] = true;
+}
+
 void beliefs_targets_begin(struct beliefs *bel)
 {
 	registry_list_begin(bel->registry);
@@ -109,11 +136,15 @@
 
 void beliefs_target(struct beliefs *bel, const struct target_info *info, struct timespec now)
 {
-	GString *key = g_string_new(info->id);
+	struct target_info heard = *info;
+	GString *key;
 
+	heard.heard_at = bel->answer;
+	if (!registry_put(bel->registry, &heard, now))
+		return;
+	key = g_string_new(info->id);
 	g_hash_table_remove(bel->lapsed, key);
 	g_string_free(key, TRUE);
-	registry_put(bel->registry, info, now);
 }
 
 void beliefs_target_gone(struct beliefs *bel, const char *id, struct timespec now)
@@ -121,7 +152,7 @@
 	if (may_be_back(bel, now))
 		keep_lapsed(bel, id, now);
 	else
-		registry_remove(bel->registry, id, now);
+		registry_remove(bel->registry, id, bel->answer, now);
 }
 
 struct lapse_walk {
@@ -145,36 +176,54 @@
 
 	if (may_be_back(bel, now))
 		registry_each(bel->registry, keep_if_missing, &walk);
-	registry_list_end(bel->registry, now);
-	bel->known[BELIEF_TARGETS] = true;
+	registry_list_end(bel->registry, bel->answer, now);
 	steer_set_listed(bel->steer);
 }
 
 void beliefs_config_complete(struct beliefs *bel, struct timespec now)
 {
 	routing_commit(bel->routing, now);
-	bel->known[BELIEF_CONFIG] = true;
 	decision_log(DECISION_CONFIG, now, "config=%llu routes=%u idle_timeout_ms=%u",
 		     (unsigned long long)routing_version(bel->routing), routing_count(bel->routing),
 		     routing_idle_timeout(bel->routing));
 	steer_routes_changed(bel->steer, now);
 }
 
+static void set_withdrawn(struct beliefs *bel, uint32_t data_centre, bool withdrawn,
+			  struct timespec now)
+{
+	if (placing_is_withdrawn(&bel->placing, data_centre) == withdrawn)
+		return;
+	placing_withdraw(&bel->placing, data_centre, withdrawn);
+	bel->withdrawals++;
+	decision_log(DECISION_CONFIG, now, "data_centre=%s withdrawn=%d",
+		     symbols_name(&bel->symbols, data_centre), withdrawn);
+}
+
 void beliefs_withdraw(struct beliefs *bel, const char *data_centre, bool withdrawn,
 		      struct timespec now)
 {
 	uint32_t sym = symbols_intern(&bel->symbols, data_centre);
 
-	if (placing_is_withdrawn(&bel->placing, sym) == withdrawn)
-		return;
-	placing_withdraw(&bel->placing, sym, withdrawn);
-	decision_log(DECISION_CONFIG, now, "data_centre=%s withdrawn=%d", data_centre, withdrawn);
+	if (withdrawn)
+		g_hash_table_add(bel->listed, GUINT_TO_POINTER(sym));
+	set_withdrawn(bel, sym, withdrawn, now);
+}
+
+void beliefs_withdrawals_begin(struct beliefs *bel)
+{
+	g_hash_table_remove_all(bel->listed);
 }
 
 void beliefs_withdrawals_end(struct beliefs *bel, struct timespec now)
 {
-	(void)now;
-	bel->known[BELIEF_WITHDRAWALS] = true;
+	GList *withdrawn = g_hash_table_get_keys(bel->placing.withdrawn);
+
+	for (GList *link = withdrawn; link; link = link->next) {
+		if (!g_hash_table_contains(bel->listed, link->data))
+			set_withdrawn(bel, GPOINTER_TO_UINT(link->data), false, now);
+	}
+	g_list_free(withdrawn);
 }
 
 void beliefs_heard(struct beliefs *bel, enum belief_kind kind, struct timespec now)
--- a/beliefs.h
+++ b/beliefs.h
@@ -29,8 +29,13 @@
 	struct edge_counters counters;
 	GHashTable *lapsed;    /* GString id to struct timespec: entries to be removed then */
 	GHashTable *malformed; /* names of entries that were complained of */
+	uint64_t withdrawals;  /* changes of the set of withdrawn data centres */
+	GHashTable *listed;    /* symbols of data centres that the list being read withdraws */
 	bool known[BELIEF_KINDS];
 	struct timespec heard[BELIEF_KINDS]; /* when the store last answered */
+	int64_t complete[BELIEF_KINDS];	     /* all changes up to this revision are known */
+	uint64_t config_wanted;		     /* version that another instance has told of */
+	int64_t answer;			     /* revision of the answer that is being reported */
 	bool store_lost;
 	struct timespec store_regained;
 	struct histogram store_times;
@@ -55,14 +60,26 @@
 void beliefs_timer(struct beliefs *bel, struct timespec now);
 
 /* Reports of the adapter. A whole list of targets lies between begin and end. */
+/* What follows comes from an answer that shows the store at @revision. */
+void beliefs_answer(struct beliefs *bel, int64_t revision);
+/* All changes of a kind up to @revision have been reported. */
+void beliefs_complete(struct beliefs *bel, enum belief_kind kind, int64_t revision);
 void beliefs_targets_begin(struct beliefs *bel);
 void beliefs_target(struct beliefs *bel, const struct target_info *info, struct timespec now);
 void beliefs_target_gone(struct beliefs *bel, const char *id, struct timespec now);
 void beliefs_targets_end(struct beliefs *bel, struct timespec now);
+/* The entry of a target is missing and may come back within @keep_ms. */
+void beliefs_target_lapsed(struct beliefs *bel, const char *id, int64_t keep_ms,
+			   struct timespec now);
+/* How long a lapsed target is kept; -1 for one whose entry is there. */
+int64_t beliefs_keep_ms(const struct beliefs *bel, const struct reg_target *tgt,
+			struct timespec now);
 /* A configuration has been read into bel->routing and is complete. */
 void beliefs_config_complete(struct beliefs *bel, struct timespec now);
 void beliefs_withdraw(struct beliefs *bel, const char *data_centre, bool withdrawn,
 		      struct timespec now);
+/* A whole list of withdrawn data centres; what is not withdrawn in between is in use again. */
+void beliefs_withdrawals_begin(struct beliefs *bel);
 void beliefs_withdrawals_end(struct beliefs *bel, struct timespec now);
 /* The store has answered a call about @kind, or has failed to. */
 void beliefs_heard(struct beliefs *bel, enum belief_kind kind, struct timespec now);
--- a/builtin/edge.c
+++ b/builtin/edge.c
@@ -14,6 +14,18 @@
 #include "platform/store.h"
 #include "timeutil.h"
 
+/*
+ * A number that is higher at each start, as long as the clock does not go back: real time in units
+ * of 64 ms. Instances that it seems lower to take no messages, and this one reads the store alone.
+ */
+static uint32_t current_incarnation(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint32_t)(ts_to_ms(now) >> 6);
+}
+
 static int serve(struct edge_settings *set, const char *path)
 {
 	struct seeded_random random;
@@ -22,6 +34,7 @@
 		.settings_path = path,
 		.clock = system_clock(),
 		.random = &random.random,
+		.incarnation = current_incarnation(),
 		.wire = &echo_wire,
 	};
 	struct store_options store_opts = {
@@ -45,7 +58,7 @@
 	if (ret)
 		goto cleanup;
 	store_opts.edge = edge;
-	store = store_start(&store_opts);
+	store = store_new(&store_opts);
 	if (!store) {
 		ret = -ENOMEM;
 		goto cleanup;
@@ -53,6 +66,7 @@
 	decision_log(DECISION_PROCESS, clock_now(opts.clock),
 		     "state=started version=" JUJUBESTAGE_VERSION " data_centre=%s",
 		     set->data_centre->str);
+	edge_start(edge, store_upstream(store));
 	edge_run(edge);
 cleanup:
 	if (ret)
--- a/edge-metrics.c
+++ b/edge-metrics.c
@@ -32,6 +32,30 @@
 	counts->dead += tgt->trust == TRUST_DEAD;
 }
 
+static void add_relay(GString *out, const struct relay *relay)
+{
+	const struct counters *cnt = relay_counters(relay);
+
+	add_gauge(out, "relay_following", "1 while another instance tells what the store says",
+		  relay_role(relay) == RELAY_FOLLOWING);
+	add_gauge(out, "relay_reading", "1 while this instance reads the store for others",
+		  relay_role(relay) == RELAY_READING);
+	add_gauge(out, "relay_followers", "instances that are told by this one",
+		  relay_followers(relay));
+	metrics_add(out, "relay_in_total", "counter", "messages accepted", cnt->peer_in);
+	metrics_add(out, "relay_out_total", "counter", "messages sent", cnt->peer_out);
+	metrics_add(out, "relay_bytes_in_total", "counter", "bytes of messages accepted",
+		    cnt->peer_bytes_in);
+	metrics_add(out, "relay_bytes_out_total", "counter", "bytes of messages sent",
+		    cnt->peer_bytes_out);
+	metrics_add(out, "relay_malformed_total", "counter", "messages that cannot be read",
+		    cnt->peer_bad);
+	metrics_add(out, "relay_unauthentic_total", "counter",
+		    "messages whose seal does not verify", cnt->peer_unauthentic);
+	metrics_add(out, "relay_replayed_total", "counter", "messages that came again",
+		    cnt->peer_replayed);
+}
+
 void edge_metrics_write(GString *out, const struct edge_view *view)
 {
 	struct beliefs *bel = view->beliefs;
@@ -61,6 +85,8 @@
 		"time since the store last answered about targets");
 	add_age(out, view, BELIEF_CONFIG, "config_age_milliseconds",
 		"time since the store last answered about the configuration");
+	if (view->relay)
+		add_relay(out, view->relay);
 	histogram_write(out, steer_accept_times(bel->steer), "opening_seconds",
 			"time from an opening to the first packet after its acceptance");
 	histogram_write(out, steer_belief_ages(bel->steer), "belief_age_seconds",
--- a/edge-metrics.h
+++ b/edge-metrics.h
@@ -3,9 +3,11 @@
 #define EDGE_METRICS_H
 
 #include "beliefs.h"
+#include "relay.h"
 
 struct edge_view {
 	struct beliefs *beliefs;
+	const struct relay *relay; /* NULL when the instance reads the store alone */
 	const struct histogram *loop_delays;
 	struct timespec now;
 	struct timespec started;
--- a/edge-settings.c
+++ b/edge-settings.c
@@ -41,6 +41,9 @@
 	g_string_assign(set->ready_path, json_str(root, "ready_path"));
 	endpoint_parse(json_str(root, "metrics"), &set->metrics);
 	endpoint_parse(json_str(root, "store"), &set->store);
+	if (*json_str(root, "peers"))
+		endpoint_parse(json_str(root, "peers"), &set->peers);
+	set->memory_mb = (uint32_t)json_num(root, "memory_mb");
 	set->stop_s = (uint32_t)json_num(root, "stop_s");
 	set->verify_ms = (uint32_t)json_num(root, "verify_ms");
 	set->placing = parse_placing(json_str(root, "placing"));
--- a/edge-settings.h
+++ b/edge-settings.h
@@ -15,6 +15,8 @@
 	struct endpoint ready;
 	GString *ready_path;
 	struct endpoint metrics;
+	struct endpoint peers; /* port 0: none */
+	uint32_t memory_mb;
 	struct endpoint store;
 	uint32_t stop_s;
 	uint32_t verify_ms;
--- a/edge.c
+++ b/edge.c
@@ -42,6 +42,17 @@
 	struct edge *edge;
 };
 
+/* Datagrams to be sent over one socket at the end of a turn. */
+struct outbox {
+	struct udp_out out;
+	GByteArray *buffer;
+};
+
+struct edge_relay_out {
+	struct relay_out base; /* first member */
+	struct edge *edge;
+};
+
 struct held_packet {
 	struct timespec arrived;
 	size_t size;
@@ -59,10 +70,13 @@
 	struct timespec timer_due;
 	struct rawsource packets;
 	struct rawsource signals;
+	struct rawsource peers;
 	struct udp_in in;
-	struct udp_out sending;
-	GByteArray *buffer; /* datagrams of @sending */
-	GPtrArray *held;    /* struct held_packet */
+	struct outbox to_callers; /* and targets */
+	struct outbox to_peers;
+	struct relay *relay; /* NULL when the instance reads the store alone */
+	struct edge_relay_out relay_out;
+	GPtrArray *held; /* struct held_packet */
 	struct http_pages ready_pages;
 	struct http_pages metrics_pages;
 	struct histogram loop_delays;
@@ -79,39 +93,57 @@
 	return clock_now(edge->opts.clock);
 }
 
+static void outbox_flush(struct outbox *box)
+{
+	if (box->out.nr)
+		udp_out_flush(&box->out, box->buffer->data);
+	g_byte_array_set_size(box->buffer, 0);
+}
+
 static void flush(struct edge *edge)
 {
-	if (edge->sending.nr)
-		udp_out_flush(&edge->sending, edge->buffer->data);
-	edge->beliefs.counters.send_lost = edge->sending.lost;
-	g_byte_array_set_size(edge->buffer, 0);
+	outbox_flush(&edge->to_callers);
+	outbox_flush(&edge->to_peers);
+	edge->beliefs.counters.send_lost = edge->to_callers.out.lost + edge->to_peers.out.lost;
 }
 
 /* Room for one datagram at the end of the buffer. */
-static uint8_t *reserve(struct edge *edge, size_t *offset)
+static uint8_t *reserve(struct outbox *box, size_t size, size_t *offset)
 {
-	if (udp_out_full(&edge->sending))
-		flush(edge);
-	*offset = edge->buffer->len;
-	g_byte_array_set_size(edge->buffer, edge->buffer->len + WIRE_MAX_BYTES);
-	return edge->buffer->data + *offset;
+	if (udp_out_full(&box->out))
+		outbox_flush(box);
+	*offset = box->buffer->len;
+	g_byte_array_set_size(box->buffer, (guint)(box->buffer->len + size));
+	return box->buffer->data + *offset;
 }
 
-static void commit(struct edge *edge, struct endpoint dst, size_t offset, size_t size)
+static void commit(struct outbox *box, struct endpoint dst, size_t offset, size_t size)
 {
-	g_byte_array_set_size(edge->buffer, (guint)(offset + size));
-	udp_out_add(&edge->sending, dst, offset, size);
+	g_byte_array_set_size(box->buffer, (guint)(offset + size));
+	udp_out_add(&box->out, dst, offset, size);
 }
 
+static void relay_out_send(struct relay_out *out, struct endpoint dst, const uint8_t *bytes,
+			   size_t len)
+{
+	struct outbox *box = &((struct edge_relay_out *)out)->edge->to_peers;
+	size_t offset;
+
+	memcpy(reserve(box, len, &offset), bytes, len);
+	commit(box, dst, offset, len);
+}
+
+static const struct relay_out_ops relay_out_ops = { relay_out_send };
+
 static void out_forward(struct steer_out *out, const struct reg_target *tgt, uint32_t mark,
 			const uint8_t *bytes, size_t size)
 {
 	struct edge *edge = ((struct edge_out *)out)->edge;
 	const struct wire *wire = edge->opts.wire;
 	size_t offset;
-	uint8_t *room = reserve(edge, &offset);
+	uint8_t *room = reserve(&edge->to_callers, WIRE_MAX_BYTES, &offset);
 
-	commit(edge, tgt->ep, offset,
+	commit(&edge->to_callers, tgt->ep, offset,
 	       wire->ops->encode(wire, tgt->wire_id, mark, bytes, size, room));
 }
 
@@ -121,9 +153,9 @@
 	const struct wire *wire = edge->opts.wire;
 	struct endpoint dst = { addr->caller.ip, edge->opts.set->packets.port };
 	size_t offset;
-	uint8_t *room = reserve(edge, &offset);
+	uint8_t *room = reserve(&edge->to_callers, WIRE_MAX_BYTES, &offset);
 
-	commit(edge, dst, offset, wire->ops->reset(wire, addr, seq, room));
+	commit(&edge->to_callers, dst, offset, wire->ops->reset(wire, addr, seq, room));
 }
 
 static void out_probe(struct steer_out *out, struct reg_target *tgt, unsigned int nr)
@@ -182,6 +214,8 @@
 {
 	struct timespec now = edge_now(edge);
 
+	if (edge->relay)
+		relay_beliefs_changed(edge->relay, now);
 	if (!edge->was_ready && beliefs_ready(&edge->beliefs)) {
 		edge->was_ready = true;
 		decision_log(DECISION_PROCESS, now,
@@ -229,6 +263,22 @@
 	schedule(edge);
 }
 
+static void peers_readable(struct rawsource *raw)
+{
+	struct edge *edge = lws_container_of(raw, struct edge, peers);
+	int nr = udp_in_receive(&edge->in, edge->peers.fd);
+
+	for (int i = 0; i < nr; i++) {
+		const uint8_t *bytes;
+		size_t size;
+		struct endpoint src;
+
+		if (edge->relay && udp_in_at(&edge->in, i, &bytes, &size, &src))
+			relay_receive(edge->relay, src, bytes, size, edge_now(edge));
+	}
+	edge_beliefs_changed(edge);
+}
+
 static void begin_stop(struct edge *edge)
 {
 	if (edge->stopping)
@@ -237,6 +287,9 @@
 	edge->stop_began = edge_now(edge);
 	decision_log(DECISION_PROCESS, edge->stop_began, "state=stopping flows=%u",
 		     steer_flows(edge->beliefs.steer));
+	if (edge->relay)
+		relay_stop(edge->relay, edge->stop_began);
+	flush(edge);
 	schedule(edge);
 }
 
@@ -244,6 +297,7 @@
 {
 	return !endpoint_equal(a->packets, b->packets) || !endpoint_equal(a->ready, b->ready) ||
 	       !endpoint_equal(a->metrics, b->metrics) || !endpoint_equal(a->store, b->store) ||
+	       !endpoint_equal(a->peers, b->peers) ||
 	       !g_string_equal(a->data_centre, b->data_centre);
 }
 
@@ -321,6 +375,8 @@
 			     (long long)late_ms, steer_flows(edge->beliefs.steer));
 	edge->timer_due = (struct timespec){ 0 };
 	beliefs_timer(&edge->beliefs, now);
+	if (edge->relay)
+		relay_timer(edge->relay, now);
 	if (ts_diff_ms(now, edge->settings_checked) >= SETTINGS_CHECK_MS) {
 		edge->settings_checked = now;
 		reload(edge, "timer", now);
@@ -337,6 +393,8 @@
 	struct timespec due;
 
 	log_flush();
+	if (edge->relay)
+		ms = MIN(ms, relay_due_ms(edge->relay, now));
 	if (edge->stopping)
 		ms = MIN(ms, STOP_QUIET_MS / 4);
 	due = ts_add_ms(now, ms);
@@ -380,6 +438,7 @@
 	struct edge *edge = arg;
 	struct edge_view view = {
 		.beliefs = &edge->beliefs,
+		.relay = edge->relay,
 		.loop_delays = &edge->loop_delays,
 		.now = edge_now(edge),
 		.started = edge->started,
@@ -413,7 +472,14 @@
 
 	if (ret)
 		return ret;
-	udp_out_init(&edge->sending, edge->packets.fd);
+	udp_out_init(&edge->to_callers.out, edge->packets.fd);
+	if (set->peers.port) {
+		ret = rawsource_adopt(edge->vhost, &edge->peers, udp_open(set->peers),
+				      peers_readable);
+		if (ret)
+			return ret;
+		udp_out_init(&edge->to_peers.out, edge->peers.fd);
+	}
 	edge->ready_pages = (struct http_pages){ ready_page, edge };
 	edge->metrics_pages = (struct http_pages){ metrics_page, edge };
 	ret = http_serve(edge->context, set->ready, "ready", &edge->ready_pages);
@@ -441,7 +507,8 @@
 	edge->started = edge_now(edge);
 	edge->settings_checked = edge->started;
 	edge->out = (struct edge_out){ { &out_ops }, edge };
-	edge->buffer = g_byte_array_new();
+	edge->to_callers.buffer = g_byte_array_new();
+	edge->to_peers.buffer = g_byte_array_new();
 	edge->held = g_ptr_array_new_with_free_func(g_free);
 	udp_in_init(&edge->in, WIRE_MAX_BYTES);
 	beliefs_init(&edge->beliefs, &beliefs);
@@ -467,13 +534,42 @@
 	if (edge->context)
 		lws_context_destroy(edge->context);
 	decision_init(NULL);
+	relay_free(edge->relay);
 	beliefs_release(&edge->beliefs);
 	udp_in_release(&edge->in);
-	g_byte_array_unref(edge->buffer);
+	g_byte_array_unref(edge->to_callers.buffer);
+	g_byte_array_unref(edge->to_peers.buffer);
 	g_ptr_array_unref(edge->held);
 	g_free(edge);
 }
 
+void edge_start(struct edge *edge, struct upstream *upstream)
+{
+	struct relay_options opts = {
+		.beliefs = &edge->beliefs,
+		.upstream = upstream,
+		.out = &edge->relay_out.base,
+		.self = edge->opts.set->peers,
+		.incarnation = edge->opts.incarnation,
+		.memory_mb = edge->opts.set->memory_mb,
+		.random = system_random(),
+	};
+
+	if (!opts.self.port) {
+		upstream->ops->run(upstream);
+		return;
+	}
+	edge->relay_out = (struct edge_relay_out){ { &relay_out_ops }, edge };
+	edge->relay = relay_new(&opts);
+	relay_start(edge->relay, edge_now(edge));
+	schedule(edge);
+}
+
+struct relay *edge_relay(struct edge *edge)
+{
+	return edge->relay;
+}
+
 void edge_run(struct edge *edge)
 {
 	while (lws_service(edge->context, 0) >= 0 && !stop_complete(edge))
--- a/edge.h
+++ b/edge.h
@@ -10,6 +10,7 @@
 
 #include "beliefs.h"
 #include "edge-settings.h"
+#include "relay.h"
 #include "wire.h"
 
 struct edge;
@@ -19,6 +20,7 @@
 	const char *settings_path;
 	struct clock *clock;
 	struct random *random;
+	uint32_t incarnation; /* higher at each start */
 	const struct wire *wire;
 };
 
@@ -26,12 +28,16 @@
 int edge_new(const struct edge_options *opts, struct edge **res);
 void edge_free(struct edge *edge);
 
+/* Begins to learn from the store, or from an instance that reads it for others. */
+void edge_start(struct edge *edge, struct upstream *upstream);
 /* Serves until a planned stop is complete. */
 void edge_run(struct edge *edge);
 
 struct lws_context *edge_context(struct edge *edge);
 struct beliefs *edge_beliefs(struct edge *edge);
-/* The beliefs have changed: what was held until they were complete is handled now. */
+/* NULL when the instance reads the store alone. */
+struct relay *edge_relay(struct edge *edge);
+/* The beliefs have changed: followers are told, and what was held for them is handled. */
 void edge_beliefs_changed(struct edge *edge);
 
 #endif
--- a/peer.h
+++ b/peer.h
@@ -21,7 +21,7 @@
 #define PEER_MAX_MESSAGE (PEER_MAX_DATAGRAM - SEAL_OVERHEAD - PEER_RPC_BYTES)
 /* Bounds memory when many homes are silent at once. */
 #define PEER_MAX_CALLS 16384
-#define PEER_TYPES     (PEER_CONFIG_OBJECT + 1)
+#define PEER_TYPES     (PEER_VIEW + 1)
 
 struct peer_transport;
 
--- a/proto/edge-gen.c
+++ b/proto/edge-gen.c
@@ -9,6 +9,8 @@
 	{ "ready_path", SCHEMA_STRING, false, 1u, 63u, NULL, "\"/readyz\"", NULL },
 	{ "metrics", SCHEMA_ENDPOINT, true, 0u, UINT64_MAX, NULL, NULL, NULL },
 	{ "store", SCHEMA_ENDPOINT, true, 0u, UINT64_MAX, NULL, NULL, NULL },
+	{ "peers", SCHEMA_ENDPOINT, false, 0u, UINT64_MAX, NULL, NULL, NULL },
+	{ "memory_mb", SCHEMA_UINT, false, 0u, 1048576u, "MB", "0", NULL },
 	{ "stop_s", SCHEMA_UINT, false, 1u, 600u, "s", "6", NULL },
 	{ "verify_ms", SCHEMA_UINT, false, 0u, 1000u, "ms", "50", NULL },
 	{ "remote_percent", SCHEMA_UINT, false, 100u, 10000u, "%", "400", NULL },
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -25,6 +25,8 @@
 #define PEER_MAX_NEWS 512
 #define PEER_MAX_VECTOR 1024
 #define PEER_MAX_VERSIONS 64
+#define PEER_MAX_VIEW_TARGETS 64
+#define PEER_MAX_VIEW_NAMES 64
 
 struct peer_service {
 	u_int ip;
@@ -307,6 +309,67 @@
 };
 typedef struct peer_config_object peer_config_object;
 
+typedef char *peer_name;
+#define PEER_VIEW_DRAINING 1
+#define PEER_VIEW_LAPSED 2
+#define PEER_VIEW_GONE 4
+
+struct peer_view_target {
+	peer_name id;
+	u_quad_t revision;
+	u_quad_t wire_id;
+	u_int ip;
+	u_int port_slots;
+	u_int names;
+	u_int flags;
+	u_int cold_ms;
+	u_int keep_ms;
+	quad_t born_ms;
+};
+typedef struct peer_view_target peer_view_target;
+
+struct peer_view_ask {
+	u_quad_t session;
+	u_quad_t base;
+	peer_name after;
+};
+typedef struct peer_view_ask peer_view_ask;
+#define PEER_READER_STORE_LOST 1
+#define PEER_READER_STOPPING 2
+
+enum peer_view_next {
+	PEER_VIEW_LAST = 0,
+	PEER_VIEW_FOLLOWS = 1,
+	PEER_VIEW_ASK_MORE = 2,
+};
+typedef enum peer_view_next peer_view_next;
+
+struct peer_view_page {
+	u_quad_t session;
+	u_int reader;
+	u_int age_ms;
+	u_quad_t targets_revision;
+	u_quad_t config_revision;
+	u_quad_t withdrawals_revision;
+	u_quad_t config_version;
+	struct {
+		u_int withdrawn_len;
+		peer_name *withdrawn_val;
+	} withdrawn;
+	u_quad_t base;
+	peer_name after;
+	peer_view_next next;
+	struct {
+		u_int names_len;
+		peer_name *names_val;
+	} names;
+	struct {
+		u_int targets_len;
+		peer_view_target *targets_val;
+	} targets;
+};
+typedef struct peer_view_page peer_view_page;
+
 enum peer_type {
 	PEER_NULL = 0,
 	PEER_HEARTBEAT = 1,
@@ -323,6 +386,8 @@
 	PEER_CONFIG_DIGEST = 12,
 	PEER_CONFIG_PULL = 13,
 	PEER_CONFIG_OBJECT = 14,
+	PEER_VIEW_QUESTION = 15,
+	PEER_VIEW = 16,
 };
 typedef enum peer_type peer_type;
 
@@ -343,6 +408,8 @@
 		peer_config_digest digest;
 		peer_config_pull config_pull;
 		peer_config_object object;
+		peer_view_ask view_ask;
+		peer_view_page view;
 	} peer_msg_u;
 };
 typedef struct peer_msg peer_msg;
@@ -379,6 +446,11 @@
 extern  bool_t xdr_peer_config_digest (XDR *, peer_config_digest*);
 extern  bool_t xdr_peer_config_pull (XDR *, peer_config_pull*);
 extern  bool_t xdr_peer_config_object (XDR *, peer_config_object*);
+extern  bool_t xdr_peer_name (XDR *, peer_name*);
+extern  bool_t xdr_peer_view_target (XDR *, peer_view_target*);
+extern  bool_t xdr_peer_view_ask (XDR *, peer_view_ask*);
+extern  bool_t xdr_peer_view_next (XDR *, peer_view_next*);
+extern  bool_t xdr_peer_view_page (XDR *, peer_view_page*);
 extern  bool_t xdr_peer_type (XDR *, peer_type*);
 extern  bool_t xdr_peer_msg (XDR *, peer_msg*);
 
@@ -412,6 +484,11 @@
 extern bool_t xdr_peer_config_digest ();
 extern bool_t xdr_peer_config_pull ();
 extern bool_t xdr_peer_config_object ();
+extern bool_t xdr_peer_name ();
+extern bool_t xdr_peer_view_target ();
+extern bool_t xdr_peer_view_ask ();
+extern bool_t xdr_peer_view_next ();
+extern bool_t xdr_peer_view_page ();
 extern bool_t xdr_peer_type ();
 extern bool_t xdr_peer_msg ();
 
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -19,6 +19,8 @@
 const PEER_MAX_NEWS = 512;
 const PEER_MAX_VECTOR = 1024;
 const PEER_MAX_VERSIONS = 64;
+const PEER_MAX_VIEW_TARGETS = 64;
+const PEER_MAX_VIEW_NAMES = 64;
 
 struct peer_service {
 	unsigned int ip;
@@ -269,6 +271,66 @@
 	opaque document<PEER_MAX_PACKET>;
 };
 
+typedef string peer_name<PEER_MAX_NAME>;
+
+/* Flags of a target in a view. */
+const PEER_VIEW_DRAINING = 1;
+const PEER_VIEW_LAPSED = 2; /* its entry is missing and may come back within keep_ms */
+const PEER_VIEW_GONE = 4;
+
+struct peer_view_target {
+	peer_name id;
+	unsigned hyper revision; /* of the store at the entry's last change */
+	unsigned hyper wire_id;
+	unsigned int ip;
+	unsigned int port_slots; /* port << 16 | slots */
+	unsigned int names;      /* service << 16 | data centre, indexes of the page's names */
+	unsigned int flags;
+	unsigned int cold_ms;
+	unsigned int keep_ms;
+	hyper born_ms;
+};
+
+/*
+ * Follower to reader: one way, once a second and whenever something is missing. Also keeps the
+ * follower known to the reader.
+ */
+struct peer_view_ask {
+	unsigned hyper session; /* random; the pages repeat it */
+	unsigned hyper base;    /* revision to which the sender knows all targets, 0 for none */
+	peer_name after;        /* last target of the page that was taken, "" at the start */
+};
+
+/* Flags of a reader. */
+const PEER_READER_STORE_LOST = 1;
+const PEER_READER_STOPPING = 2;
+
+enum peer_view_next {
+	PEER_VIEW_LAST = 0,    /* the page is the last one */
+	PEER_VIEW_FOLLOWS = 1, /* the next page comes without a question */
+	PEER_VIEW_ASK_MORE = 2
+};
+
+/*
+ * Reader to follower: the targets that have changed since a revision, in the order of their
+ * identifiers, and what the reader knows. A page without targets is a heartbeat.
+ */
+struct peer_view_page {
+	unsigned hyper session;
+	unsigned int reader; /* flags */
+	unsigned int age_ms; /* since the store last answered about the kind that is oldest */
+	unsigned hyper targets_revision; /* revisions to which the reader knows all of a kind */
+	unsigned hyper config_revision;
+	unsigned hyper withdrawals_revision;
+	unsigned hyper config_version;
+	peer_name withdrawn<PEER_MAX_VIEW_NAMES>;
+	unsigned hyper base; /* 0: a whole list, what is not in it has left */
+	peer_name after;     /* identifier that the page continues from */
+	peer_view_next next;
+	peer_name names<PEER_MAX_VIEW_NAMES>;
+	peer_view_target targets<PEER_MAX_VIEW_TARGETS>;
+};
+
 enum peer_type {
 	PEER_NULL = 0,
 	PEER_HEARTBEAT = 1,
@@ -284,7 +346,9 @@
 	PEER_FLOW_ANSWER = 11,
 	PEER_CONFIG_DIGEST = 12,
 	PEER_CONFIG_PULL = 13,
-	PEER_CONFIG_OBJECT = 14
+	PEER_CONFIG_OBJECT = 14,
+	PEER_VIEW_QUESTION = 15,
+	PEER_VIEW = 16
 };
 
 union peer_msg switch (peer_type type) {
@@ -318,4 +382,8 @@
 	peer_config_pull config_pull;
 case PEER_CONFIG_OBJECT:
 	peer_config_object object;
+case PEER_VIEW_QUESTION:
+	peer_view_ask view_ask;
+case PEER_VIEW:
+	peer_view_page view;
 };
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -686,6 +686,174 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_name (XDR *xdrs, peer_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, PEER_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_view_target (XDR *xdrs, peer_view_target *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_peer_name (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->wire_id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->ip))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->port_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->names))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->keep_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->ip);
+		IXDR_PUT_U_LONG(buf, objp->port_slots);
+		IXDR_PUT_U_LONG(buf, objp->names);
+		IXDR_PUT_U_LONG(buf, objp->flags);
+		IXDR_PUT_U_LONG(buf, objp->cold_ms);
+		IXDR_PUT_U_LONG(buf, objp->keep_ms);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_peer_name (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->wire_id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->ip))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->port_slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->names))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->keep_ms))
+				 return FALSE;
+
+		} else {
+		objp->ip = IXDR_GET_U_LONG(buf);
+		objp->port_slots = IXDR_GET_U_LONG(buf);
+		objp->names = IXDR_GET_U_LONG(buf);
+		objp->flags = IXDR_GET_U_LONG(buf);
+		objp->cold_ms = IXDR_GET_U_LONG(buf);
+		objp->keep_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_peer_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wire_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->names))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->keep_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_view_ask (XDR *xdrs, peer_view_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->after))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_view_next (XDR *xdrs, peer_view_next *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_view_page (XDR *xdrs, peer_view_page *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reader))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->targets_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->withdrawals_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->withdrawn.withdrawn_val, (u_int *) &objp->withdrawn.withdrawn_len, PEER_MAX_VIEW_NAMES,
+		sizeof (peer_name), (xdrproc_t) xdr_peer_name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->after))
+		 return FALSE;
+	 if (!xdr_peer_view_next (xdrs, &objp->next))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->names.names_val, (u_int *) &objp->names.names_len, PEER_MAX_VIEW_NAMES,
+		sizeof (peer_name), (xdrproc_t) xdr_peer_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, PEER_MAX_VIEW_TARGETS,
+		sizeof (peer_view_target), (xdrproc_t) xdr_peer_view_target))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_type (XDR *xdrs, peer_type *objp)
 {
@@ -762,6 +930,14 @@
 		 if (!xdr_peer_config_object (xdrs, &objp->peer_msg_u.object))
 			 return FALSE;
 		break;
+	case PEER_VIEW_QUESTION:
+		 if (!xdr_peer_view_ask (xdrs, &objp->peer_msg_u.view_ask))
+			 return FALSE;
+		break;
+	case PEER_VIEW:
+		 if (!xdr_peer_view_page (xdrs, &objp->peer_msg_u.view))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/registry.c
+++ b/registry.c
@@ -1,5 +1,7 @@
 #include "registry.h"
 
+#include <string.h>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -14,6 +16,9 @@
 	GHashTable *by_mark;	/* upper half of the mark to a chain of struct reg_target */
 	GHashTable *by_service; /* symbol to GPtrArray of struct reg_target */
 	struct registry_listener *listener;
+	int64_t latest;	   /* highest heard_at */
+	int64_t forgotten; /* highest heard_at of a target that was freed */
+	bool listing;	   /* a whole list is being taken over */
 };
 
 static void free_target(gpointer data)
@@ -126,6 +131,17 @@
 		g_ptr_array_remove_fast(list, tgt);
 }
 
+void registry_touch(struct registry *reg, struct reg_target *tgt, int64_t heard_at)
+{
+	tgt->heard_at = MAX(tgt->heard_at, heard_at);
+	reg->latest = MAX(reg->latest, heard_at);
+}
+
+int64_t registry_latest(const struct registry *reg)
+{
+	return reg->latest;
+}
+
 static struct reg_target *add_target(struct registry *reg, const struct target_info *info)
 {
 	struct reg_target *tgt = g_new0(struct reg_target, 1);
@@ -147,12 +163,30 @@
 		reg->listener->changed(reg->listener, tgt, before, reborn, now);
 }
 
-void registry_put(struct registry *reg, const struct target_info *info, struct timespec now)
+/*
+ * A list in parts, a stale answer or another instance may tell a state that is older than what is
+ * known. The entry of a target that has left keeps its last revision; only a whole list, which is
+ * newer than the removal, can show it again.
+ */
+static bool is_outdated(const struct registry *reg, const struct reg_target *tgt,
+			const struct target_info *info)
+{
+	if (!info->revision)
+		return false;
+	return info->revision < tgt->revision ||
+	       (info->revision == tgt->revision && tgt->phase == TARGET_GONE && !reg->listing);
+}
+
+bool registry_put(struct registry *reg, const struct target_info *info, struct timespec now)
 {
 	struct reg_target *tgt = registry_by_id(reg, info->id);
 	bool reborn = tgt && tgt->born_ms != info->born_ms;
 	enum target_phase before;
 
+	if (tgt && is_outdated(reg, tgt, info)) {
+		tgt->seen = true;
+		return false;
+	}
 	if (!tgt)
 		tgt = add_target(reg, info);
 	before = tgt->phase;
@@ -170,13 +204,19 @@
 	tgt->phase = info->draining ? TARGET_DRAINING : TARGET_READY;
 	tgt->warm_at = ts_add_ms(now, info->cold_ms);
 	tgt->seen = true;
+	/* A list tells again what is known. */
+	if (before == TARGET_GONE || !info->revision || info->revision != tgt->revision)
+		registry_touch(reg, tgt, info->heard_at);
+	tgt->revision = info->revision;
 	if (before != tgt->phase || reborn) {
 		tgt->changed = now;
 		notify(reg, tgt, before, reborn, now);
 	}
+	return true;
 }
 
-static void set_gone(struct registry *reg, struct reg_target *tgt, struct timespec now)
+static void set_gone(struct registry *reg, struct reg_target *tgt, int64_t heard_at,
+		     struct timespec now)
 {
 	enum target_phase before = tgt->phase;
 
@@ -184,16 +224,17 @@
 		return;
 	leave_service(reg, tgt);
 	tgt->phase = TARGET_GONE;
+	registry_touch(reg, tgt, heard_at);
 	tgt->changed = now;
 	notify(reg, tgt, before, false, now);
 }
 
-void registry_remove(struct registry *reg, const char *id, struct timespec now)
+void registry_remove(struct registry *reg, const char *id, int64_t heard_at, struct timespec now)
 {
 	struct reg_target *tgt = registry_by_id(reg, id);
 
 	if (tgt)
-		set_gone(reg, tgt, now);
+		set_gone(reg, tgt, heard_at, now);
 }
 
 void registry_each(struct registry *reg, void (*fn)(struct reg_target *tgt, void *arg), void *arg)
@@ -214,10 +255,11 @@
 
 void registry_list_begin(struct registry *reg)
 {
+	reg->listing = true;
 	registry_each(reg, clear_seen, NULL);
 }
 
-void registry_list_end(struct registry *reg, struct timespec now)
+void registry_list_end(struct registry *reg, int64_t heard_at, struct timespec now)
 {
 	GHashTableIter iter;
 	gpointer tgt;
@@ -225,8 +267,9 @@
 	g_hash_table_iter_init(&iter, reg->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &tgt)) {
 		if (!((struct reg_target *)tgt)->seen)
-			set_gone(reg, tgt, now);
+			set_gone(reg, tgt, heard_at, now);
 	}
+	reg->listing = false;
 }
 
 void registry_sweep(struct registry *reg, struct timespec now, int64_t keep_ms)
@@ -242,10 +285,44 @@
 		    tgt->trust != TRUST_ALIVE || ts_diff_ms(now, tgt->changed) < keep_ms)
 			continue;
 		unindex_mark(reg, tgt);
+		reg->forgotten = MAX(reg->forgotten, tgt->heard_at);
 		g_hash_table_iter_remove(&iter);
 	}
 }
 
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	const struct reg_target *x = *(struct reg_target *const *)a;
+	const struct reg_target *y = *(struct reg_target *const *)b;
+
+	return strcmp(x->id->str, y->id->str);
+}
+
+GPtrArray *registry_changed_since(const struct registry *reg, int64_t revision, const char *after)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (revision >= reg->latest)
+		return list;
+	g_hash_table_iter_init(&iter, reg->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct reg_target *tgt = value;
+
+		if (tgt->heard_at > revision && strcmp(tgt->id->str, after) > 0 &&
+		    (revision || tgt->phase != TARGET_GONE))
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, compare_ids);
+	return list;
+}
+
+int64_t registry_forgotten(const struct registry *reg)
+{
+	return reg->forgotten;
+}
+
 struct reg_target *registry_by_id(struct registry *reg, const char *id)
 {
 	GString *key = g_string_new(id);
--- a/registry.h
+++ b/registry.h
@@ -40,6 +40,8 @@
 	bool draining;
 	uint32_t cold_ms; /* how much longer the target is slow after its start */
 	int64_t born_ms;  /* Unix time of its start; another value is another incarnation */
+	int64_t revision; /* of the store at the entry's last change, 0 when it is not known */
+	int64_t heard_at; /* revision of the answer that told it; see registry_changed_since() */
 };
 
 struct reg_target {
@@ -52,6 +54,8 @@
 	uint32_t data_centre;
 	uint32_t slots;
 	int64_t born_ms;
+	int64_t revision;
+	int64_t heard_at;
 	enum target_phase phase;
 	struct timespec warm_at;
 	struct timespec changed; /* when the phase was learned */
@@ -87,17 +91,30 @@
 void registry_free(struct registry *reg);
 void registry_set_listener(struct registry *reg, struct registry_listener *listener);
 
-/* Adds or updates one target. */
-void registry_put(struct registry *reg, const struct target_info *info, struct timespec now);
-/* The target is not listed any more. */
-void registry_remove(struct registry *reg, const char *id, struct timespec now);
+/* Adds or updates one target. Returns false when something newer is known of it. */
+bool registry_put(struct registry *reg, const struct target_info *info, struct timespec now);
+/* The target is not listed any more, as an answer of revision @heard_at tells. */
+void registry_remove(struct registry *reg, const char *id, int64_t heard_at, struct timespec now);
 /* A whole list: begin, put each entry, end. What was not put is removed at the end. */
 void registry_list_begin(struct registry *reg);
-void registry_list_end(struct registry *reg, struct timespec now);
+void registry_list_end(struct registry *reg, int64_t heard_at, struct timespec now);
 
 /* Frees targets that are gone for longer than @keep_ms and have no flows. */
 void registry_sweep(struct registry *reg, struct timespec now, int64_t keep_ms);
 
+/*
+ * Targets that an answer later than @revision told something of, in the order of their identifiers
+ * and beyond @after; those that are gone only when @revision is not 0. Struct reg_target, to be
+ * freed with g_ptr_array_unref().
+ */
+GPtrArray *registry_changed_since(const struct registry *reg, int64_t revision, const char *after);
+/* The latest revision that registry_changed_since() has something beyond. */
+int64_t registry_latest(const struct registry *reg);
+/* Makes the target one that an answer of this revision told something of. */
+void registry_touch(struct registry *reg, struct reg_target *tgt, int64_t heard_at);
+/* Changes up to this revision may include targets that have been forgotten since. */
+int64_t registry_forgotten(const struct registry *reg);
+
 struct reg_target *registry_by_id(struct registry *reg, const char *id);
 /* Targets of a service that are ready or draining: struct reg_target. NULL when there are none. */
 const GPtrArray *registry_by_service(const struct registry *reg, uint32_t service);
--- /dev/null
+++ b/relay-reader.c
@@ -0,0 +1,179 @@
+#include "relay-internal.h"
+
+#include <stddef.h>
+
+/*
+ * Pages that are sent without a further question. With 8 pages, 60 followers and 600 new targets
+ * filled the queue of a 20 Mbit/s link, and heartbeats were lost; questions pace the rest.
+ */
+#define BURST_PAGES 2
+/* The same for a whole list. A start takes a question for each burst, of 5 to 15 ms each. */
+#define LIST_BURST_PAGES 12
+/* A follower asks once a second. */
+#define FOLLOWER_KEEP_MS 3500
+/* A data centre of the largest fleet planned has about 60 instances. */
+#define MAX_FOLLOWERS 512
+
+static struct relay *relay_of(struct peer_handler *handler)
+{
+	return ((struct relay_channel *)((char *)handler - offsetof(struct relay_channel, handler)))
+		->relay;
+}
+
+static uint32_t reader_flags(const struct relay *relay)
+{
+	return (relay->opts.beliefs->store_lost ? PEER_READER_STORE_LOST : 0) |
+	       (relay->stopping ? PEER_READER_STOPPING : 0);
+}
+
+struct page_sink {
+	struct relay *relay;
+	uint32_t dst;
+};
+
+static void send_page(void *arg, const peer_msg *msg)
+{
+	const struct page_sink *sink = arg;
+
+	relay_send(&sink->relay->to_followers, sink->dst, msg);
+}
+
+static void send_changes(struct relay *relay, struct follower *fol, struct view_range *range)
+{
+	struct page_sink sink = { relay, fol->id };
+
+	range->session = fol->session;
+	range->reader = reader_flags(relay);
+	range->max_pages = range->base ? BURST_PAGES : LIST_BURST_PAGES;
+	fol->asking = !view_write(relay->opts.beliefs, range, relay->now, send_page, &sink);
+	if (!fol->asking)
+		fol->sent = relay->opts.beliefs->complete[BELIEF_TARGETS];
+}
+
+static void take_question(struct relay *relay, uint32_t src, const peer_view_ask *ask)
+{
+	GHashTable *followers = relay->followers;
+	struct follower *fol = g_hash_table_lookup(followers, GUINT_TO_POINTER(src));
+	const struct beliefs *bel = relay->opts.beliefs;
+	struct view_range range = { .after = ask->after };
+	GPtrArray *changed;
+
+	if (ask->base > INT64_MAX)
+		return;
+	if (!fol) {
+		if (g_hash_table_size(followers) >= MAX_FOLLOWERS)
+			return;
+		fol = g_new0(struct follower, 1);
+		fol->id = src;
+		g_hash_table_insert(followers, GUINT_TO_POINTER(src), fol);
+	}
+	fol->session = ask->session;
+	fol->asked = relay->now;
+	fol->waiting = !beliefs_ready(bel);
+	if (fol->waiting) {
+		fol->sent = (int64_t)ask->base;
+		return;
+	}
+	range.base = view_base(bel, (int64_t)ask->base);
+	changed = registry_changed_since(bel->registry, range.base, ask->after);
+	range.changed = changed;
+	send_changes(relay, fol, &range);
+	g_ptr_array_unref(changed);
+}
+
+static void reader_message(struct peer_handler *handler, uint32_t src, uint32_t xid,
+			   const peer_msg *msg)
+{
+	struct relay *relay = relay_of(handler);
+
+	(void)xid;
+	/* After a claim without an answer the entry may name this instance. */
+	if (msg->type == PEER_VIEW_QUESTION &&
+	    (relay->role == RELAY_READING || relay->role == RELAY_ALONE))
+		take_question(relay, src, &msg->peer_msg_u.view_ask);
+}
+
+static void no_result(struct peer_handler *handler, uint32_t src, uint64_t call_id,
+		      enum call_status status, const peer_msg *msg)
+{
+	(void)handler;
+	(void)src;
+	(void)call_id;
+	(void)status;
+	(void)msg;
+}
+
+const struct peer_handler_ops relay_reader_ops = {
+	.message = reader_message,
+	.result = no_result,
+	.endpoint = relay_endpoint,
+};
+
+/* Whether followers must hear at once that something besides the targets has changed. */
+static bool has_news(struct relay *relay)
+{
+	const struct beliefs *bel = relay->opts.beliefs;
+	uint64_t config = routing_version(bel->routing);
+	uint32_t flags = reader_flags(relay);
+	bool news = flags != relay->told_flags || config != relay->told_config ||
+		    bel->withdrawals != relay->told_withdrawals;
+
+	relay->told_flags = flags;
+	relay->told_config = config;
+	relay->told_withdrawals = bel->withdrawals;
+	return news;
+}
+
+/* Sends a follower what has changed. Most have been sent the same, so *range is kept for the next.
+ */
+static void tell(struct relay *relay, struct follower *fol, struct view_range *range,
+		 GPtrArray **changed, bool heartbeat)
+{
+	const struct beliefs *bel = relay->opts.beliefs;
+	int64_t base = view_base(bel, fol->sent);
+
+	if (!*changed || range->base != base) {
+		if (*changed)
+			g_ptr_array_unref(*changed);
+		*changed = registry_changed_since(bel->registry, base, "");
+		range->base = base;
+		range->changed = *changed;
+	}
+	/* What a follower has been sent must not be ahead of what it can know. */
+	if (!(*changed)->len && !heartbeat)
+		return;
+	fol->waiting = false;
+	send_changes(relay, fol, range);
+}
+
+void relay_reader_tell(struct relay *relay, bool heartbeat)
+{
+	struct view_range range = { .after = "" };
+	bool all = has_news(relay) || heartbeat;
+	int64_t complete = relay->opts.beliefs->complete[BELIEF_TARGETS];
+	GPtrArray *changed = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!beliefs_ready(relay->opts.beliefs))
+		return;
+	g_hash_table_iter_init(&iter, relay->followers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct follower *fol = value;
+
+		if (ts_diff_ms(relay->now, fol->asked) >= FOLLOWER_KEEP_MS)
+			g_hash_table_iter_remove(&iter);
+		else if (!fol->asking && (all || fol->waiting || fol->sent < complete))
+			tell(relay, fol, &range, &changed, all || fol->waiting);
+	}
+	if (changed)
+		g_ptr_array_unref(changed);
+}
+
+void relay_reader_timer(struct relay *relay)
+{
+	if (ts_cmp(relay->now, relay->next_heartbeat) < 0)
+		return;
+	relay->next_heartbeat = ts_add_ms(relay->now, RELAY_HEARTBEAT_MS);
+	relay_reader_tell(relay, true);
+}
--- /dev/null
+++ b/relay.c
@@ -0,0 +1,589 @@
+#include "relay-internal.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "address.h"
+
+/* A question without an answer is repeated after this time; a busy reader takes 60 ms. */
+#define ASK_AGAIN_MS 150
+/* Keeps the reader's view of its followers; see FOLLOWER_KEEP_MS. */
+#define ASK_MS 1000
+/* A whole list that comes no further is asked of the store; 40 kB take 20 ms of a slow link. */
+#define STALL_MS 400
+/* A reader that has not answered four questions does not run any more, or takes long to start. */
+#define JOIN_MS 600
+/*
+ * An instance that starts asks the store and looks for a reader at once. The reader's list comes
+ * first if it runs; after this time the store's is nearly there, and is not given up.
+ */
+#define BOOT_MS 100
+/* Least time between questions for a page that is missing in a burst. */
+#define GAP_ASK_MS 20
+/* A reader that knows less than this instance catches up with its next answer of the store. */
+#define JOIN_BEHIND_MS 5000
+/*
+ * Instances without a reader look for one at different times, the larger ones first: they make the
+ * better readers. For an instance of FIND_MEMORY_MB or less.
+ */
+#define FIND_MIN_MS    400
+#define FIND_SPREAD_MS 2000
+#define FIND_MEMORY_MB 100
+#define FIND_SPEED_MAX 20
+/* After a failed claim the new reader is known at once. */
+#define FIND_AGAIN_MS 100
+/* A reader without followers makes sure that its entry is still its own. */
+#define DESERTED_MS 10000
+/* An idle watch is answered after 2.5 s and fails 0.7 s later. */
+#define AGE_MAX_MS 3500
+/*
+ * While the reader has lost the store, its followers try it too, because it may refuse some and
+ * serve others. The pause doubles: the reader tells when the store is back for it.
+ */
+#define PROBE_MIN_MS 1000
+#define PROBE_MAX_MS 4000
+#define BYTE	     256
+
+const char *relay_role_name(enum relay_role role)
+{
+	static const char *const names[] = {
+		[RELAY_ALONE] = "alone",
+		[RELAY_JOINING] = "joining",
+		[RELAY_FOLLOWING] = "following",
+		[RELAY_READING] = "reading",
+	};
+
+	return names[role];
+}
+
+void relay_set_role(struct relay *relay, enum relay_role role, const char *why)
+{
+	char reader[ENDPOINT_TEXT_LEN];
+
+	if (role == relay->role)
+		return;
+	endpoint_format(relay->reader.ep, reader);
+	decision_log(DECISION_STORE, relay->now,
+		     "relay=%s was=%s why=%s reader=%s targets_revision=%lld followers=%u",
+		     relay_role_name(role), relay_role_name(relay->role), why,
+		     role == RELAY_JOINING || role == RELAY_FOLLOWING ? reader : "",
+		     (long long)relay->opts.beliefs->complete[BELIEF_TARGETS],
+		     relay_followers(relay));
+	relay->role = role;
+}
+
+static void transmit(struct peer_transport *transport, struct endpoint dst, const uint8_t *bytes,
+		     size_t len)
+{
+	struct relay *relay = ((struct relay_channel *)transport)->relay;
+
+	relay->opts.out->ops->send(relay->opts.out, dst, bytes, len);
+}
+
+static const struct peer_transport_ops transport_ops = { transmit };
+
+bool relay_endpoint(struct peer_handler *handler, uint32_t id, struct endpoint *ep)
+{
+	const struct relay_channel *chan =
+		(struct relay_channel *)((char *)handler - offsetof(struct relay_channel, handler));
+
+	*ep = (struct endpoint){ id, chan->relay->opts.self.port };
+	return true;
+}
+
+void relay_channel_open(struct relay *relay, struct relay_channel *chan,
+			const struct peer_handler_ops *ops, const uint8_t key[PEER_KEY_BYTES])
+{
+	struct peer_key seal_key = { .id = key[0] };
+	struct peer_options opts = {
+		.self = relay->opts.self.ip,
+		.incarnation = relay->opts.incarnation,
+		.keys = &seal_key,
+		.nr_keys = 1,
+		.transport = &chan->transport,
+		.handler = &chan->handler,
+		.random = relay->opts.random,
+		.counters = &relay->counters,
+	};
+
+	relay_channel_close(chan);
+	memcpy(seal_key.key, key, PEER_KEY_BYTES);
+	chan->relay = relay;
+	chan->transport.ops = &transport_ops;
+	chan->handler.ops = ops;
+	chan->peer = peer_new(&opts);
+}
+
+void relay_channel_close(struct relay_channel *chan)
+{
+	peer_free(chan->peer);
+	chan->peer = NULL;
+}
+
+void relay_send(struct relay_channel *chan, uint32_t dst, const peer_msg *msg)
+{
+	GByteArray *bytes = g_byte_array_new();
+
+	if (!peer_msg_encode(msg, bytes))
+		peer_send(chan->peer, dst, bytes->data, bytes->len);
+	g_byte_array_unref(bytes);
+}
+
+static void find_after(struct relay *relay, uint32_t min_ms, uint32_t spread_ms)
+{
+	relay->next_find =
+		ts_add_ms(relay->now, min_ms + random_below(relay->opts.random, spread_ms + 1));
+}
+
+static void find_soon(struct relay *relay)
+{
+	uint32_t size = MAX(relay->opts.memory_mb / FIND_MEMORY_MB, 1u);
+	uint32_t speed = MIN(size * size, (uint32_t)FIND_SPEED_MAX);
+
+	find_after(relay, FIND_MIN_MS / speed, FIND_SPREAD_MS / speed);
+}
+
+static void find(struct relay *relay)
+{
+	relay->next_find = (struct timespec){ 0 };
+	relay->finding = true;
+	relay->opts.upstream->ops->find(relay->opts.upstream, relay->find_fresh);
+	relay->find_fresh = false;
+}
+
+static void ask(struct relay *relay)
+{
+	bool more = relay->progress.active;
+	peer_msg msg = {
+		.type = PEER_VIEW_QUESTION,
+		.peer_msg_u.view_ask = {
+			.session = relay->session,
+			.base = (uint64_t)(more ? relay->progress.base :
+					   relay->opts.beliefs->complete[BELIEF_TARGETS]),
+			.after = relay->progress.after->str,
+		},
+	};
+
+	relay_send(&relay->to_reader, relay->reader.ep.ip, &msg);
+	relay->asked = relay->now;
+	relay->next_ask = ts_add_ms(
+		relay->now, relay->role == RELAY_FOLLOWING && !more ? ASK_MS : ASK_AGAIN_MS);
+}
+
+static void run_upstream(struct relay *relay)
+{
+	if (relay->paused)
+		relay->opts.upstream->ops->run(relay->opts.upstream);
+	relay->paused = false;
+}
+
+static void pause_upstream(struct relay *relay)
+{
+	if (!relay->paused)
+		relay->opts.upstream->ops->pause(relay->opts.upstream);
+	relay->paused = true;
+}
+
+/* The first list of the store is being read. */
+static bool is_listing(const struct relay *relay)
+{
+	return !relay->paused && !relay->opts.beliefs->complete[BELIEF_TARGETS] &&
+	       ts_diff_ms(relay->now, relay->started) >= BOOT_MS;
+}
+
+/* From now on this instance asks the store itself. */
+static void go_alone(struct relay *relay, const char *why)
+{
+	relay->gone = relay->reader.revision;
+	relay_set_role(relay, RELAY_ALONE, why);
+	relay->lost = false;
+	view_progress_reset(&relay->progress);
+	run_upstream(relay);
+	find_soon(relay);
+}
+
+static bool can_read(const struct relay *relay)
+{
+	return !relay->stopping && beliefs_ready(relay->opts.beliefs) &&
+	       !relay->opts.beliefs->store_lost;
+}
+
+/* Registers this instance over an entry of that revision, 0 for none. */
+static void claim(struct relay *relay, int64_t revision)
+{
+	if (!can_read(relay) || relay->claiming) {
+		find_soon(relay);
+		return;
+	}
+	relay->next_find = (struct timespec){ 0 };
+	relay->own = (struct reader_entry){ .ep = relay->opts.self, .revision = revision };
+	for (size_t i = 0; i < PEER_KEY_BYTES; i++)
+		relay->own.key[i] = (uint8_t)random_below(relay->opts.random, BYTE);
+	g_hash_table_remove_all(relay->followers);
+	relay_channel_open(relay, &relay->to_followers, &relay_reader_ops, relay->own.key);
+	relay->claiming = true;
+	relay->opts.upstream->ops->claim(relay->opts.upstream, &relay->own);
+}
+
+static void begin_reading(struct relay *relay, const char *why)
+{
+	relay_set_role(relay, RELAY_READING, why);
+	relay->next_find = (struct timespec){ 0 };
+	relay->deserted = relay->now;
+	relay->next_heartbeat = relay->now;
+}
+
+static uint64_t random_session(struct relay *relay)
+{
+	uint64_t high = random_below(relay->opts.random, UINT32_MAX);
+
+	return high << 32 | random_below(relay->opts.random, UINT32_MAX);
+}
+
+static const struct peer_handler_ops follower_ops;
+
+static void join(struct relay *relay, const struct reader_entry *entry)
+{
+	relay_channel_close(&relay->to_followers);
+	g_hash_table_remove_all(relay->followers);
+	relay->reader = *entry;
+	relay->session = random_session(relay);
+	relay->heard = (struct timespec){ 0 };
+	relay->began = relay->now;
+	view_progress_reset(&relay->progress);
+	relay_channel_open(relay, &relay->to_reader, &follower_ops, entry->key);
+	relay_set_role(relay, RELAY_JOINING, "found");
+	ask(relay);
+}
+
+static bool is_own(const struct relay *relay, const struct reader_entry *entry)
+{
+	return endpoint_equal(entry->ep, relay->opts.self) && relay->to_followers.peer &&
+	       !memcmp(entry->key, relay->own.key, PEER_KEY_BYTES);
+}
+
+/* The entry names this instance: from before a restart, or from a claim whose answer was lost. */
+static void resume_reading(struct relay *relay, const struct reader_entry *entry)
+{
+	bool known = is_own(relay, entry);
+
+	relay->own = *entry;
+	relay->deserted = relay->now;
+	if (relay->role == RELAY_READING && known)
+		return;
+	/* The key stays: followers that have read the entry can ask at once. */
+	if (!known)
+		relay_channel_open(relay, &relay->to_followers, &relay_reader_ops, entry->key);
+	begin_reading(relay, "registered");
+}
+
+void relay_found(struct relay *relay, bool ok, const struct reader_entry *entry,
+		 struct timespec now)
+{
+	bool first = !relay->looked;
+
+	relay->now = now;
+	relay->finding = false;
+	relay->looked = true;
+	if (relay->stopping || relay->role == RELAY_FOLLOWING || relay->role == RELAY_JOINING)
+		return;
+	if (entry && endpoint_equal(entry->ep, relay->opts.self)) {
+		resume_reading(relay, entry);
+	} else if (entry && entry->revision != relay->gone) {
+		join(relay, entry);
+	} else if (ok && !first) {
+		claim(relay, entry ? entry->revision : 0);
+	} else {
+		/* A fleet that starts as a whole must not register all of its instances. */
+		find_soon(relay);
+	}
+}
+
+void relay_claimed(struct relay *relay, bool claimed, struct timespec now)
+{
+	relay->now = now;
+	relay->claiming = false;
+	if (relay->role != RELAY_ALONE)
+		return;
+	if (claimed) {
+		begin_reading(relay, "claimed");
+		return;
+	}
+	relay->find_fresh = true;
+	find_after(relay, FIND_AGAIN_MS, FIND_AGAIN_MS);
+}
+
+static bool reader_is_lost(const peer_view_page *page)
+{
+	return page->reader & PEER_READER_STORE_LOST || page->age_ms > AGE_MAX_MS;
+}
+
+/* The pages are complete and the reader's beliefs are fresh. */
+static void follow(struct relay *relay, const peer_view_page *page)
+{
+	struct beliefs *bel = relay->opts.beliefs;
+
+	pause_upstream(relay);
+	relay->lost = false;
+	relay_set_role(relay, RELAY_FOLLOWING, "told");
+	for (int i = 0; i < BELIEF_KINDS; i++)
+		beliefs_heard(bel, (enum belief_kind)i,
+			      ts_add_ms(relay->now, -(int64_t)page->age_ms));
+}
+
+static void follow_lost(struct relay *relay)
+{
+	const struct beliefs *bel = relay->opts.beliefs;
+
+	if (relay->role == RELAY_JOINING) {
+		go_alone(relay, "reader_lost_store");
+		return;
+	}
+	if (!relay->lost) {
+		relay->lost = true;
+		relay->lost_since = relay->now;
+		relay->next_probe = relay->now;
+		relay->probe_ms = PROBE_MIN_MS;
+	}
+	if (ts_cmp(bel->heard[BELIEF_CONFIG], relay->lost_since) > 0) {
+		go_alone(relay, "reader_lost_store");
+	} else if (ts_cmp(relay->now, relay->next_probe) >= 0) {
+		relay->opts.upstream->ops->fetch(relay->opts.upstream, BELIEF_CONFIG);
+		relay->next_probe = ts_add_ms(relay->now, relay->probe_ms);
+		relay->probe_ms = MIN(relay->probe_ms * 2, (uint32_t)PROBE_MAX_MS);
+	}
+}
+
+/* Asks for what is missing after a page, now or if it does not come by itself. */
+static void ask_for_more(struct relay *relay, const peer_view_page *page, enum view_result res)
+{
+	if ((res == VIEW_GAP && ts_diff_ms(relay->now, relay->asked) >= GAP_ASK_MS) ||
+	    (res == VIEW_TAKEN && page->next == PEER_VIEW_ASK_MORE))
+		ask(relay);
+	else if (res == VIEW_TAKEN)
+		relay->next_ask = ts_add_ms(relay->now, ASK_AGAIN_MS);
+}
+
+static void take_page(struct relay *relay, const peer_view_page *page)
+{
+	struct beliefs *bel = relay->opts.beliefs;
+	struct upstream *up = relay->opts.upstream;
+	enum view_result res;
+
+	if (page->reader & PEER_READER_STOPPING) {
+		go_alone(relay, "reader_stops");
+		return;
+	}
+	/* Two lists at once would each take what the other has not shown for gone. */
+	if (!page->base && (reader_is_lost(page) || is_listing(relay)))
+		return;
+	if (!page->base)
+		pause_upstream(relay);
+	res = view_take(bel, &relay->progress, page, relay->now);
+	if (res == VIEW_MALFORMED) {
+		relay->counters.peer_bad++;
+		return;
+	}
+	relay->heard = relay->now;
+	if (res == VIEW_BEHIND)
+		return;
+	ask_for_more(relay, page, res);
+	if (res == VIEW_COMPLETE && reader_is_lost(page))
+		follow_lost(relay);
+	else if (res == VIEW_COMPLETE)
+		follow(relay, page);
+	if (relay->paused && page->config_version > routing_version(bel->routing))
+		up->ops->fetch(up, BELIEF_CONFIG);
+	/* Counted from the latest question: pages must not put off the next one. */
+	if (relay->role == RELAY_FOLLOWING)
+		relay->next_ask = ts_add_ms(relay->asked, ASK_MS);
+}
+
+static void follower_message(struct peer_handler *handler, uint32_t src, uint32_t xid,
+			     const peer_msg *msg)
+{
+	struct relay *relay = ((struct relay_channel *)((char *)handler -
+							offsetof(struct relay_channel, handler)))
+				      ->relay;
+
+	(void)xid;
+	if (msg->type == PEER_VIEW && src == relay->reader.ep.ip &&
+	    msg->peer_msg_u.view.session == relay->session)
+		take_page(relay, &msg->peer_msg_u.view);
+}
+
+static void no_result(struct peer_handler *handler, uint32_t src, uint64_t call_id,
+		      enum call_status status, const peer_msg *msg)
+{
+	(void)handler;
+	(void)src;
+	(void)call_id;
+	(void)status;
+	(void)msg;
+}
+
+static const struct peer_handler_ops follower_ops = {
+	.message = follower_message,
+	.result = no_result,
+	.endpoint = relay_endpoint,
+};
+
+void relay_receive(struct relay *relay, struct endpoint src, const uint8_t *bytes, size_t len,
+		   struct timespec now)
+{
+	bool follower = relay->role == RELAY_JOINING || relay->role == RELAY_FOLLOWING;
+	struct relay_channel *chan = follower ? &relay->to_reader : &relay->to_followers;
+
+	relay->now = now;
+	if (chan->peer)
+		peer_receive(chan->peer, src, bytes, len);
+	else
+		relay->counters.peer_unauthentic++;
+}
+
+void relay_beliefs_changed(struct relay *relay, struct timespec now)
+{
+	relay->now = now;
+	if (relay->role == RELAY_READING)
+		relay_reader_tell(relay, false);
+	else if (relay->role == RELAY_FOLLOWING && relay->lost)
+		follow_lost(relay);
+}
+
+static void follower_timer(struct relay *relay)
+{
+	if (ts_diff_ms(relay->now, relay->heard) >= RELAY_SILENT_MS)
+		go_alone(relay, "silent");
+	else if (ts_cmp(relay->now, relay->next_ask) >= 0)
+		ask(relay);
+}
+
+static void join_timer(struct relay *relay)
+{
+	bool answers = relay->heard.tv_sec && ts_diff_ms(relay->now, relay->heard) < STALL_MS;
+	int64_t passed = ts_diff_ms(relay->now, relay->began);
+
+	if (!answers && passed >= JOIN_MS)
+		go_alone(relay, "no_answer");
+	else if (passed >= JOIN_BEHIND_MS)
+		go_alone(relay, "behind");
+	else if (is_listing(relay))
+		relay->next_ask = ts_add_ms(relay->now, GAP_ASK_MS);
+	else if (ts_cmp(relay->now, relay->next_ask) >= 0)
+		ask(relay);
+}
+
+static void reading_timer(struct relay *relay)
+{
+	relay_reader_timer(relay);
+	if (relay_followers(relay))
+		relay->deserted = relay->now;
+	else if (!relay->finding && !relay->stopping &&
+		 ts_diff_ms(relay->now, relay->deserted) >= DESERTED_MS) {
+		relay->deserted = relay->now;
+		find(relay);
+	}
+}
+
+static bool find_is_due(const struct relay *relay)
+{
+	return relay->next_find.tv_sec && !relay->stopping &&
+	       ts_cmp(relay->now, relay->next_find) >= 0;
+}
+
+void relay_timer(struct relay *relay, struct timespec now)
+{
+	relay->now = now;
+	switch (relay->role) {
+	case RELAY_ALONE:
+		if (find_is_due(relay))
+			find(relay);
+		break;
+	case RELAY_JOINING:
+		join_timer(relay);
+		break;
+	case RELAY_FOLLOWING:
+		follower_timer(relay);
+		break;
+	case RELAY_READING:
+		reading_timer(relay);
+		break;
+	}
+}
+
+int64_t relay_due_ms(const struct relay *relay, struct timespec now)
+{
+	int64_t due = INT64_MAX;
+
+	switch (relay->role) {
+	case RELAY_ALONE:
+		if (relay->next_find.tv_sec && !relay->stopping)
+			due = ts_diff_ms(relay->next_find, now);
+		break;
+	case RELAY_JOINING:
+		due = ts_diff_ms(relay->next_ask, now);
+		break;
+	case RELAY_FOLLOWING:
+		due = MIN(ts_diff_ms(relay->next_ask, now),
+			  RELAY_SILENT_MS - ts_diff_ms(now, relay->heard));
+		break;
+	case RELAY_READING:
+		due = ts_diff_ms(relay->next_heartbeat, now);
+		break;
+	}
+	return MAX(due, 1);
+}
+
+struct relay *relay_new(const struct relay_options *opts)
+{
+	struct relay *relay = g_new0(struct relay, 1);
+
+	relay->opts = *opts;
+	relay->followers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	view_progress_init(&relay->progress);
+	return relay;
+}
+
+void relay_free(struct relay *relay)
+{
+	if (!relay)
+		return;
+	relay_channel_close(&relay->to_reader);
+	relay_channel_close(&relay->to_followers);
+	view_progress_release(&relay->progress);
+	g_hash_table_unref(relay->followers);
+	g_free(relay);
+}
+
+void relay_start(struct relay *relay, struct timespec now)
+{
+	relay->now = now;
+	relay->started = now;
+	relay->find_fresh = true;
+	find(relay);
+	relay->opts.upstream->ops->run(relay->opts.upstream);
+}
+
+void relay_stop(struct relay *relay, struct timespec now)
+{
+	relay->now = now;
+	relay->stopping = true;
+	if (relay->role == RELAY_READING)
+		relay_reader_tell(relay, true);
+	g_hash_table_remove_all(relay->followers);
+}
+
+enum relay_role relay_role(const struct relay *relay)
+{
+	return relay->role;
+}
+
+unsigned int relay_followers(const struct relay *relay)
+{
+	return g_hash_table_size(relay->followers);
+}
+
+const struct counters *relay_counters(const struct relay *relay)
+{
+	return &relay->counters;
+}
--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -28,6 +28,11 @@
 	  false },
 	{ "moving-callers-and-slow-targets",
 	  "--seconds 16 --net 26 --faults --seed 4 --only shift,target-slow,stop", false },
+	/* Four instances in each data centre: one reads the store, and fails like the others. */
+	{ "readers-that-fail",
+	  "--seconds 24 --net 19 --instances 8 --faults --seed 12 "
+	  "--only kill,pause,term,store-silent,store-busy,config,target-release,withdraw",
+	  false },
 	{ "drains-with-old-beliefs",
 	  "--seconds 16 --net 23 --faults --seed 3 --only target-release --watch-pause 10000",
 	  true },
--- /dev/null
+++ b/t/test-relay.c
@@ -0,0 +1,702 @@
+/*
+ * Plays instances of one data centre that tell each other what the store says, in simulated time
+ * and without a network. Guards against a reader that fails in any way leaving its followers with
+ * beliefs that are old, go back, or lack something. Each case is a script; after each step no
+ * revision may have gone back on any instance.
+ */
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "random.h"
+#include "relay.h"
+#include "timeutil.h"
+#include "view.h"
+
+#define MAX_NODES   12
+#define STEP_MS	    10
+#define START_MS    1000000
+#define SELF_IP	    0x0a000001u
+#define PORT	    7000
+#define ROLES	    4
+#define MAX_TARGETS 400
+
+struct change {
+	int64_t revision;
+	char id[16];
+	bool draining;
+	bool removed;
+};
+
+struct datagram {
+	int64_t due_ms;
+	unsigned int src, dst;
+	GBytes *bytes;
+};
+
+struct sim;
+
+struct node {
+	struct relay_out out; /* first member */
+	struct upstream upstream;
+	struct steer_out steer_out;
+	struct sim *sim;
+	struct beliefs beliefs;
+	struct relay *relay;
+	unsigned int nr;
+	uint32_t incarnation;
+	bool up, frozen, refused, running, finding;
+	bool wanted[BELIEF_KINDS];
+	struct reader_entry claim;
+	bool claiming;
+	unsigned int calls; /* of the store since the last "count" */
+	int64_t complete[BELIEF_KINDS];
+	uint64_t version;
+};
+
+struct sim {
+	struct node nodes[MAX_NODES];
+	unsigned int last; /* the instance that was stopped or refused last */
+	struct seeded_random random;
+	int64_t now_ms;
+	GArray *changes; /* struct change: what the store has been through */
+	int64_t revision;
+	int64_t config_revision;
+	uint64_t config_version;
+	int64_t withdrawn_revision;
+	bool withdrawn;
+	struct reader_entry entry; /* revision 0 for none */
+	bool lose_claims;	   /* claims are carried out and their answers lost */
+	GPtrArray *sent;
+	bool cut[MAX_NODES][MAX_NODES];
+	unsigned int loss_percent;
+};
+
+static struct timespec sim_now(const struct sim *sim)
+{
+	return ts_from_ms(START_MS + sim->now_ms);
+}
+
+static void free_datagram(gpointer data)
+{
+	struct datagram *dg = data;
+
+	g_bytes_unref(dg->bytes);
+	g_free(dg);
+}
+
+static void out_send(struct relay_out *out, struct endpoint dst, const uint8_t *bytes, size_t len)
+{
+	struct node *node = (struct node *)out;
+	struct sim *sim = node->sim;
+	struct datagram *dg;
+
+	g_assert_cmpuint(dst.port, ==, PORT);
+	g_assert_cmpuint(dst.ip - SELF_IP, <, MAX_NODES);
+	/* What would be fragmented is lost more often. */
+	g_assert_cmpuint(len, <=, 1400);
+	if (sim->cut[node->nr][dst.ip - SELF_IP] ||
+	    random_below(&sim->random.random, 100) < sim->loss_percent)
+		return;
+	dg = g_new(struct datagram, 1);
+	*dg = (struct datagram){ sim->now_ms + STEP_MS, node->nr, dst.ip - SELF_IP,
+				 g_bytes_new(bytes, len) };
+	g_ptr_array_add(sim->sent, dg);
+}
+
+static const struct relay_out_ops out_ops = { out_send };
+
+static struct node *node_of(struct upstream *up)
+{
+	return (struct node *)((char *)up - offsetof(struct node, upstream));
+}
+
+static void up_run(struct upstream *up)
+{
+	node_of(up)->running = true;
+}
+
+static void up_pause(struct upstream *up)
+{
+	node_of(up)->running = false;
+	memset(node_of(up)->wanted, 0, sizeof(node_of(up)->wanted));
+}
+
+static void up_fetch(struct upstream *up, enum belief_kind kind)
+{
+	node_of(up)->wanted[kind] = true;
+}
+
+static void up_find(struct upstream *up, bool fresh)
+{
+	(void)fresh;
+	node_of(up)->finding = true;
+}
+
+static void up_claim(struct upstream *up, const struct reader_entry *entry)
+{
+	node_of(up)->claim = *entry;
+	node_of(up)->claiming = true;
+}
+
+static const struct upstream_ops upstream_ops = { up_run, up_pause, up_fetch, up_find, up_claim };
+
+static void no_forward(struct steer_out *out, const struct reg_target *tgt, uint32_t mark,
+		       const uint8_t *bytes, size_t size)
+{
+	(void)out;
+	(void)tgt;
+	(void)mark;
+	(void)bytes;
+	(void)size;
+}
+
+static void no_reset(struct steer_out *out, const struct flow_addr *addr, uint32_t seq)
+{
+	(void)out;
+	(void)addr;
+	(void)seq;
+}
+
+static void no_probe(struct steer_out *out, struct reg_target *tgt, unsigned int nr)
+{
+	(void)out;
+	(void)tgt;
+	(void)nr;
+}
+
+static const struct steer_out_ops steer_ops = { no_forward, no_reset, no_probe };
+
+static void boot(struct sim *sim, unsigned int nr)
+{
+	struct node *node = &sim->nodes[nr];
+	struct beliefs_options beliefs = {
+		.data_centre = "home",
+		.max_flows = 1024,
+		.random = &sim->random.random,
+		.out = &node->steer_out,
+	};
+	struct relay_options relay = {
+		.beliefs = &node->beliefs,
+		.upstream = &node->upstream,
+		.out = &node->out,
+		.self = { SELF_IP + nr, PORT },
+		.incarnation = node->incarnation + 1,
+		.random = &sim->random.random,
+	};
+
+	g_assert_false(node->up);
+	*node = (struct node){
+		.out = { &out_ops },
+		.upstream = { &upstream_ops },
+		.steer_out = { &steer_ops },
+		.sim = sim,
+		.nr = nr,
+		.incarnation = relay.incarnation,
+		.refused = node->refused,
+		.up = true,
+	};
+	beliefs_init(&node->beliefs, &beliefs);
+	node->relay = relay_new(&relay);
+	relay_start(node->relay, sim_now(sim));
+}
+
+static void end_node(struct node *node)
+{
+	if (!node->up)
+		return;
+	relay_free(node->relay);
+	beliefs_release(&node->beliefs);
+	node->up = false;
+}
+
+static void report_target(struct node *node, const struct change *chg, struct timespec now)
+{
+	struct symbols *syms = &node->beliefs.symbols;
+	struct target_info info = {
+		.id = chg->id,
+		.wire_id = 7,
+		.ep = { 0x0a800001, 80 },
+		.service = symbols_intern(syms, "web"),
+		.data_centre = symbols_intern(syms, "home"),
+		.slots = 2,
+		.draining = chg->draining,
+		.born_ms = 5,
+		.revision = chg->revision,
+	};
+
+	if (chg->removed)
+		beliefs_target_gone(&node->beliefs, chg->id, now);
+	else
+		beliefs_target(&node->beliefs, &info, now);
+}
+
+/* The last change of each target makes the list. */
+static bool is_last(const struct sim *sim, guint i)
+{
+	const struct change *chg = &g_array_index(sim->changes, struct change, i);
+
+	for (guint j = i + 1; j < sim->changes->len; j++) {
+		if (!strcmp(g_array_index(sim->changes, struct change, j).id, chg->id))
+			return false;
+	}
+	return true;
+}
+
+static void report_targets(struct node *node, struct timespec now)
+{
+	const struct sim *sim = node->sim;
+	struct beliefs *bel = &node->beliefs;
+	bool list = !bel->complete[BELIEF_TARGETS];
+
+	if (list)
+		beliefs_targets_begin(bel);
+	for (guint i = 0; i < sim->changes->len; i++) {
+		const struct change *chg = &g_array_index(sim->changes, struct change, i);
+
+		if (chg->revision <= bel->complete[BELIEF_TARGETS] ||
+		    (list && (chg->removed || !is_last(sim, i))))
+			continue;
+		report_target(node, chg, now);
+	}
+	if (list)
+		beliefs_targets_end(bel, now);
+}
+
+static void report_config(struct node *node, struct timespec now)
+{
+	struct routing *rt = node->beliefs.routing;
+	struct route_rule rule = { .address = { 0xc6120001u, 80 }, .nr_services = 1 };
+
+	if (!routing_begin(rt, node->sim->config_version))
+		return;
+	routing_add_route(rt, &rule);
+	beliefs_config_complete(&node->beliefs, now);
+}
+
+static void report_withdrawals(struct node *node, struct timespec now)
+{
+	beliefs_withdrawals_begin(&node->beliefs);
+	if (node->sim->withdrawn)
+		beliefs_withdraw(&node->beliefs, "home", true, now);
+	beliefs_withdrawals_end(&node->beliefs, now);
+}
+
+static void report(struct node *node, enum belief_kind kind, struct timespec now)
+{
+	struct beliefs *bel = &node->beliefs;
+
+	node->calls++;
+	node->wanted[kind] = false;
+	if (node->refused) {
+		beliefs_store_failed(bel, "status 503", now);
+		return;
+	}
+	beliefs_heard(bel, kind, now);
+	beliefs_answer(bel, node->sim->revision);
+	switch (kind) {
+	case BELIEF_TARGETS:
+		report_targets(node, now);
+		break;
+	case BELIEF_CONFIG:
+		report_config(node, now);
+		break;
+	case BELIEF_WITHDRAWALS:
+	case BELIEF_KINDS:
+		report_withdrawals(node, now);
+		break;
+	}
+	beliefs_complete(bel, kind, node->sim->revision);
+}
+
+static void answer_claim(struct node *node, struct timespec now)
+{
+	struct sim *sim = node->sim;
+	bool done = !node->refused && sim->entry.revision == node->claim.revision;
+
+	node->claiming = false;
+	node->calls++;
+	if (done) {
+		sim->entry = node->claim;
+		sim->entry.revision = ++sim->revision;
+	}
+	relay_claimed(node->relay, done && !sim->lose_claims, now);
+}
+
+/* The store answers each instance that asks, every 100 ms. */
+static void play_store(struct node *node, struct timespec now)
+{
+	struct sim *sim = node->sim;
+
+	if (node->finding) {
+		node->finding = false;
+		node->calls++;
+		relay_found(node->relay, !node->refused,
+			    sim->entry.revision && !node->refused ? &sim->entry : NULL, now);
+	}
+	if (node->claiming)
+		answer_claim(node, now);
+	if (sim->now_ms % 100)
+		return;
+	for (int i = 0; i < BELIEF_KINDS; i++) {
+		if (node->running || node->wanted[i])
+			report(node, (enum belief_kind)i, now);
+	}
+	relay_beliefs_changed(node->relay, now);
+}
+
+static void check_forward(struct node *node)
+{
+	for (int i = 0; i < BELIEF_KINDS; i++) {
+		g_assert_cmpint(node->beliefs.complete[i], >=, node->complete[i]);
+		node->complete[i] = node->beliefs.complete[i];
+	}
+	g_assert_cmpuint(routing_version(node->beliefs.routing), >=, node->version);
+	node->version = routing_version(node->beliefs.routing);
+}
+
+static void deliver(struct sim *sim)
+{
+	for (guint i = 0; i < sim->sent->len;) {
+		struct datagram *dg = g_ptr_array_index(sim->sent, i);
+		struct node *dst = &sim->nodes[dg->dst];
+		gsize len;
+		const uint8_t *bytes = g_bytes_get_data(dg->bytes, &len);
+
+		if (dg->due_ms > sim->now_ms || dst->frozen) {
+			i++;
+			continue;
+		}
+		if (dst->up)
+			relay_receive(dst->relay, (struct endpoint){ SELF_IP + dg->src, PORT },
+				      bytes, len, sim_now(sim));
+		g_ptr_array_remove_index(sim->sent, i);
+	}
+}
+
+static void step(struct sim *sim)
+{
+	struct timespec now;
+
+	sim->now_ms += STEP_MS;
+	now = sim_now(sim);
+	deliver(sim);
+	for (unsigned int i = 0; i < MAX_NODES; i++) {
+		struct node *node = &sim->nodes[i];
+
+		if (!node->up || node->frozen)
+			continue;
+		play_store(node, now);
+		beliefs_timer(&node->beliefs, now);
+		if (relay_due_ms(node->relay, now) <= STEP_MS)
+			relay_timer(node->relay, now);
+		check_forward(node);
+	}
+}
+
+static void change_target(struct sim *sim, const char *id, bool draining, bool removed)
+{
+	struct change chg = { ++sim->revision, "", draining, removed };
+
+	g_strlcpy(chg.id, id, sizeof(chg.id));
+	g_array_append_val(sim->changes, chg);
+}
+
+static enum relay_role role_named(const char *name)
+{
+	for (int i = 0; i < ROLES; i++) {
+		if (!strcmp(name, relay_role_name((enum relay_role)i)))
+			return (enum relay_role)i;
+	}
+	g_error("role %s", name);
+}
+
+static const struct node *reader_of(struct sim *sim)
+{
+	for (unsigned int i = 0; i < MAX_NODES; i++) {
+		if (sim->nodes[i].up && relay_role(sim->nodes[i].relay) == RELAY_READING)
+			return &sim->nodes[i];
+	}
+	return NULL;
+}
+
+/* "reader", "other" (a follower) and "last" stand for their numbers. */
+static unsigned int node_named(struct sim *sim, const char *word)
+{
+	if (!strcmp(word, "reader")) {
+		g_assert_nonnull(reader_of(sim));
+		return reader_of(sim)->nr;
+	}
+	if (!strcmp(word, "other")) {
+		for (unsigned int i = 0; i < MAX_NODES; i++) {
+			if (sim->nodes[i].up && relay_role(sim->nodes[i].relay) == RELAY_FOLLOWING)
+				return i;
+		}
+		g_error("nobody follows");
+	}
+	if (!strcmp(word, "last"))
+		return sim->last;
+	return (unsigned int)g_ascii_strtoull(word, NULL, 10);
+}
+
+static void expect_target(struct node *node, const char *id, const char *phase)
+{
+	const struct reg_target *tgt = registry_by_id(node->beliefs.registry, id);
+
+	g_test_message("%u: %s, reader %s, targets to %lld", node->nr,
+		       relay_role_name(relay_role(node->relay)), phase,
+		       (long long)node->beliefs.complete[BELIEF_TARGETS]);
+	/* Targets that have left are forgotten after a minute. */
+	if (!strcmp(phase, "left"))
+		g_assert_true(!tgt || tgt->phase == TARGET_GONE);
+	else
+		g_assert_cmpstr(tgt ? target_phase_name(tgt->phase) : "unknown", ==, phase);
+}
+
+static void each_expects(struct sim *sim, char **words)
+{
+	for (unsigned int i = 0; i < MAX_NODES; i++) {
+		struct node *node = &sim->nodes[i];
+		struct beliefs *bel = &node->beliefs;
+
+		if (!node->up || node->frozen)
+			continue;
+		if (!strcmp(words[1], "target"))
+			expect_target(node, words[2], words[3]);
+		else if (!strcmp(words[1], "config"))
+			g_assert_cmpuint(routing_version(bel->routing), ==,
+					 g_ascii_strtoull(words[2], NULL, 10));
+		else if (!strcmp(words[1], "withdrawn"))
+			g_assert_true(placing_is_withdrawn(&bel->placing,
+							   symbols_intern(&bel->symbols, "home")) ==
+				      !strcmp(words[2], "yes"));
+		else if (!strcmp(words[1], "ready"))
+			g_assert_true(beliefs_ready(bel));
+		else
+			g_error("each %s", words[1]);
+	}
+}
+
+/* roles ROLE COUNT: so many instances have that role. */
+static void expect_roles(struct sim *sim, char **words)
+{
+	unsigned int nr = 0;
+
+	for (unsigned int i = 0; i < MAX_NODES; i++)
+		nr += sim->nodes[i].up && relay_role(sim->nodes[i].relay) == role_named(words[1]);
+	g_assert_cmpuint(nr, ==, g_ascii_strtoull(words[2], NULL, 10));
+}
+
+static unsigned int all_calls(const struct sim *sim)
+{
+	unsigned int nr = 0;
+
+	for (unsigned int i = 0; i < MAX_NODES; i++)
+		nr += sim->nodes[i].calls;
+	return nr;
+}
+
+static void reset_calls(struct sim *sim)
+{
+	for (unsigned int i = 0; i < MAX_NODES; i++)
+		sim->nodes[i].calls = 0;
+}
+
+static void send_garbage(struct sim *sim, unsigned int nr)
+{
+	uint8_t bytes[120];
+
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		bytes[i] = (uint8_t)random_below(&sim->random.random, 256);
+	for (size_t len = 0; len < sizeof(bytes); len += 7)
+		relay_receive(sim->nodes[nr].relay, (struct endpoint){ SELF_IP + 3, PORT }, bytes,
+			      len, sim_now(sim));
+}
+
+static void play(struct sim *sim, char **words)
+{
+	const char *cmd = words[0];
+
+	if (!strcmp(cmd, "boot")) {
+		unsigned int last = (unsigned int)g_ascii_strtoull(words[2], NULL, 10);
+
+		for (unsigned int i = node_named(sim, words[1]); i <= last; i++)
+			boot(sim, i);
+	} else if (!strcmp(cmd, "run")) {
+		int64_t end = sim->now_ms + g_ascii_strtoll(words[1], NULL, 10);
+
+		while (sim->now_ms < end)
+			step(sim);
+	} else if (!strcmp(cmd, "put")) {
+		change_target(sim, words[1], false, false);
+	} else if (!strcmp(cmd, "many")) {
+		for (unsigned int i = 0; i < MAX_TARGETS; i++) {
+			char id[16];
+
+			g_snprintf(id, sizeof(id), "m%03u", i);
+			change_target(sim, id, false, false);
+		}
+	} else if (!strcmp(cmd, "drain")) {
+		change_target(sim, words[1], true, false);
+	} else if (!strcmp(cmd, "remove")) {
+		change_target(sim, words[1], false, true);
+	} else if (!strcmp(cmd, "config")) {
+		sim->config_version = g_ascii_strtoull(words[1], NULL, 10);
+		sim->config_revision = ++sim->revision;
+	} else if (!strcmp(cmd, "withdraw") || !strcmp(cmd, "restore")) {
+		sim->withdrawn = !strcmp(cmd, "withdraw");
+		sim->withdrawn_revision = ++sim->revision;
+	} else if (!strcmp(cmd, "freeze") || !strcmp(cmd, "wake")) {
+		sim->nodes[node_named(sim, words[1])].frozen = !strcmp(cmd, "freeze");
+	} else if (!strcmp(cmd, "wake-all")) {
+		for (unsigned int i = 0; i < MAX_NODES; i++)
+			sim->nodes[i].frozen = false;
+	} else if (!strcmp(cmd, "kill")) {
+		end_node(&sim->nodes[node_named(sim, words[1])]);
+	} else if (!strcmp(cmd, "stop")) {
+		sim->last = node_named(sim, words[1]);
+		relay_stop(sim->nodes[sim->last].relay, sim_now(sim));
+	} else if (!strcmp(cmd, "silence")) {
+		/* What the reader sends is lost; it hears the others. */
+		memset(sim->cut[node_named(sim, words[1])], true, sizeof(sim->cut[0]));
+	} else if (!strcmp(cmd, "heal")) {
+		memset(sim->cut, 0, sizeof(sim->cut));
+	} else if (!strcmp(cmd, "refuse") || !strcmp(cmd, "serve")) {
+		sim->last = node_named(sim, words[1]);
+		sim->nodes[sim->last].refused = !strcmp(cmd, "refuse");
+	} else if (!strcmp(cmd, "refuse-all") || !strcmp(cmd, "serve-all")) {
+		for (unsigned int i = 0; i < MAX_NODES; i++)
+			sim->nodes[i].refused = !strcmp(cmd, "refuse-all");
+	} else if (!strcmp(cmd, "loss")) {
+		sim->loss_percent = (unsigned int)g_ascii_strtoull(words[1], NULL, 10);
+	} else if (!strcmp(cmd, "lose-claims")) {
+		sim->lose_claims = !strcmp(words[1], "yes");
+	} else if (!strcmp(cmd, "garbage")) {
+		send_garbage(sim, node_named(sim, words[1]));
+	} else if (!strcmp(cmd, "each")) {
+		each_expects(sim, words);
+	} else if (!strcmp(cmd, "roles")) {
+		expect_roles(sim, words);
+	} else if (!strcmp(cmd, "count")) {
+		reset_calls(sim);
+	} else if (!strcmp(cmd, "calls-below")) {
+		g_assert_cmpuint(all_calls(sim), <, g_ascii_strtoull(words[1], NULL, 10));
+	} else {
+		g_error("command %s", cmd);
+	}
+}
+
+struct script {
+	const char *name;
+	const char *text;
+};
+
+#define FLEET "put a; put b; config 3; boot 0 7; run 6000; roles reading 1; roles following 7; "
+
+static const struct script scripts[] = {
+	/* Nobody reads yet: each asks the store at once. */
+	{ "start-with-no-reader", "put a; config 3; boot 0 7; run 320; each ready; "
+				  "each target a ready; each config 3" },
+	{ "one-reads", FLEET "each target a ready" },
+	{ "changes-are-told",
+	  FLEET "count; drain a; remove b; put c; config 9; withdraw; run 400; "
+		"each target a draining; each target b gone; each target c ready; each config 9; "
+		"each withdrawn yes; restore; run 400; each withdrawn no" },
+	/* Three kinds, every 100 ms, of the reader alone; each follower fetches no more. */
+	{ "calls-do-not-grow", FLEET "count; run 3000; calls-below 100" },
+	{ "start-beside-a-reader",
+	  FLEET "count; boot 8 11; run 300; each ready; each target a ready; each config 3; "
+		"roles following 11; calls-below 30" },
+	{ "start-beside-a-reader-of-many-targets",
+	  "many; config 3; boot 0 7; run 6000; roles reading 1; boot 8 8; run 600; "
+	  "roles following 8; each ready; each target m000 ready; each target m399 ready" },
+	{ "many-changes-with-loss",
+	  FLEET "loss 20; many; drain a; run 4000; loss 0; run 2000; each target a draining; "
+		"each target m000 ready; each target m399 ready" },
+	/* The bound on drains and configurations is 3 s on the smallest deployments. */
+	{ "frozen-reader",
+	  FLEET "freeze reader; drain a; config 9; run 2000; each target a draining; "
+		"each config 9; run 6000; wake-all; run 200; each target a draining; "
+		"each config 9; run 16000; roles reading 1" },
+	{ "killed-reader",
+	  FLEET "kill reader; drain a; config 9; run 2000; each target a draining; "
+		"each config 9; run 6000; roles reading 1; roles following 6" },
+	{ "restarted-reader",
+	  FLEET "drain a; kill 0; boot 0 0; kill 1; boot 1 1; kill 2; boot 2 2; "
+		"kill 3; boot 3 3; run 2000; each target a draining; "
+		"each config 3; run 8000; roles reading 1; roles following 7" },
+	{ "reader-heard-by-nobody", FLEET "silence reader; drain a; config 9; run 2000; "
+					  "each target a draining; each config 9; run 6000; heal; "
+					  "run 16000; each target a draining; roles reading 1" },
+	{ "reader-refused-by-the-store",
+	  FLEET "refuse reader; drain a; config 9; run 7000; serve-all; run 500; "
+		"each target a draining; each config 9; run 16000; roles reading 1" },
+	{ "others-hear-when-the-reader-is-refused",
+	  "put a; config 3; boot 0 7; run 6000; refuse reader; drain a; config 9; run 1500; "
+	  "freeze last; each target a draining; each config 9" },
+	{ "refused-follower-is-told", FLEET "refuse other; drain a; withdraw; run 500; "
+					    "each target a draining; each withdrawn yes" },
+	{ "planned-stop", FLEET "stop reader; drain a; config 9; run 700; each target a draining; "
+				"each config 9; kill last; run 8000; roles reading 1" },
+	/* One reader and a few tries of each follower, not seven times ten a second. */
+	{ "store-away-costs-few-calls",
+	  FLEET "refuse-all; run 500; count; run 6000; calls-below 250" },
+	{ "store-away", FLEET "refuse-all; run 6000; drain a; config 9; serve-all; run 1500; "
+			      "each target a draining; each config 9; run 16000; roles reading 1" },
+	/* The store's return: an entry that is missing is kept for 2.5 s, also where it was told.
+	 */
+	{ "lapsed-entry", FLEET "refuse-all; run 4000; remove a; serve-all; run 800; "
+				"each target a ready; run 4000; each target a gone" },
+	{ "lapsed-entry-comes-back",
+	  FLEET "refuse-all; run 4000; remove a; serve-all; run 1500; put a; run 6000; "
+		"each target a ready" },
+	/* What has been forgotten cannot be told as a change: the whole list is. */
+	{ "follower-away-for-long", FLEET "freeze other; remove a; run 70000; put c; wake-all; "
+					  "run 4000; each target a left; each target c ready" },
+	{ "claim-without-an-answer", "lose-claims yes; put a; config 3; boot 0 7; run 6000; "
+				     "each target a ready; roles reading 1; drain a; run 1500; "
+				     "each target a draining" },
+	{ "garbage",
+	  FLEET "garbage reader; garbage other; drain a; run 400; each target a draining; "
+		"roles reading 1; roles following 7" },
+};
+
+static void test_script(gconstpointer data)
+{
+	const struct script *script = data;
+	char **commands = g_strsplit(script->text, ";", 0);
+	struct sim *sim = g_new0(struct sim, 1);
+
+	seeded_random_init(&sim->random, 1);
+	sim->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+	sim->sent = g_ptr_array_new_with_free_func(free_datagram);
+	sim->revision = 10;
+	for (char **command = commands; *command; command++) {
+		char **words = g_strsplit(g_strstrip(*command), " ", 0);
+
+		g_test_message("%lld ms: %s", (long long)sim->now_ms, *command);
+		if (words[0])
+			play(sim, words);
+		g_strfreev(words);
+	}
+	for (unsigned int i = 0; i < MAX_NODES; i++)
+		end_node(&sim->nodes[i]);
+	g_ptr_array_unref(sim->sent);
+	g_array_unref(sim->changes);
+	g_strfreev(commands);
+	g_free(sim);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	if (sodium_init() < 0)
+		return 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		char *path = g_strconcat("/relay/", scripts[i].name, NULL);
+
+		g_test_add_data_func(path, &scripts[i], test_script);
+		g_free(path);
+	}
+	return g_test_run();
+}
--- a/t/world/store.c
+++ b/t/world/store.c
@@ -30,7 +30,8 @@
 	int64_t due_ms;	 /* the watch ends, or a slow answer is given */
 	GString *answer; /* a slow answer that waits */
 	bool silent;
-	bool stale_ok; /* the call accepts a stale answer */
+	bool unanswered; /* the call is carried out and its answer lost */
+	bool stale_ok;	 /* the call accepts a stale answer */
 };
 
 static struct {
@@ -151,8 +152,13 @@
 
 static void write_answer(struct connection *conn, const char *status, const char *body)
 {
-	GString *text = g_string_new(NULL);
+	GString *text;
 
+	if (conn->unanswered) {
+		conn->silent = true;
+		return;
+	}
+	text = g_string_new(NULL);
 	g_string_printf(text,
 			"HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
 			"Connection: close\r\n\r\n%s",
@@ -264,10 +270,72 @@
 	g_ptr_array_remove_fast(store.connections, conn);
 }
 
+static void answer_object(struct connection *conn, const char *status, const struct object *obj)
+{
+	GString *body = g_string_new(NULL);
+
+	append_object(body, obj);
+	write_answer(conn, status, body->str);
+	g_string_free(body, TRUE);
+}
+
+static void get_object(struct connection *conn, const char *kind, const char *name)
+{
+	const GPtrArray *objects = reads_frozen(conn) ? store.frozen : store.objects;
+
+	for (guint i = 0; i < objects->len; i++) {
+		const struct object *obj = g_ptr_array_index(objects, i);
+
+		if (strcmp(obj->kind, kind) != 0 || strcmp(obj->name, name) != 0 || obj->deleted)
+			continue;
+		answer_object(conn, "200 OK", obj);
+		return;
+	}
+	write_answer(conn, "404 Not Found", "{\"error\":\"no such object\"}");
+}
+
+/* POST creates an object, PUT replaces one if its revision is that of the call. */
+static void write_object(struct world *w, struct connection *conn, const char *kind, bool create)
+{
+	const char *head_end = strstr(conn->request->str, "\r\n\r\n");
+	json_object *body = json_tokener_parse(head_end + 4);
+	json_object *meta = NULL;
+	json_object *spec = NULL;
+	json_object *val = NULL;
+	const struct object *obj;
+	const char *name;
+	int64_t rev = 0;
+
+	json_object_object_get_ex(body, "meta", &meta);
+	json_object_object_get_ex(body, "spec", &spec);
+	json_object_object_get_ex(meta, "name", &val);
+	name = val ? json_object_get_string(val) : "";
+	if (json_object_object_get_ex(meta, "rev", &val))
+		rev = json_object_get_int64(val);
+	obj = find(kind, name);
+	if (obj && obj->deleted)
+		obj = NULL;
+	if (!*name) {
+		write_answer(conn, "400 Bad Request", "{}");
+	} else if (create && obj) {
+		write_answer(conn, "409 Conflict", "{}");
+	} else if (!create && !obj) {
+		write_answer(conn, "404 Not Found", "{}");
+	} else if (!create && rev != obj->rev) {
+		answer_object(conn, "409 Conflict", obj);
+	} else {
+		store_put(w, kind, name, json_object_to_json_string(spec));
+		answer_object(conn, "200 OK", find(kind, name));
+	}
+	json_object_put(body);
+}
+
 static void handle(struct world *w, struct connection *conn)
 {
+	char method[8] = "";
 	char path[512] = "";
 	char *query;
+	char *name;
 	char *watch;
 	char *wait;
 	char *after;
@@ -286,18 +354,34 @@
 	case STORE_SLOW:
 		break;
 	}
-	if (w->now_ms < store.lost_until_ms && wrandom(w, 100) < LOST_PERCENT) {
-		conn->silent = true;
-		return;
-	}
-	if (sscanf(conn->request->str, "GET /objects/%511s", path) != 1) {
+	if (sscanf(conn->request->str, "%7s /objects/%511s", method, path) != 2) {
 		write_answer(conn, "404 Not Found", "{}");
 		return;
 	}
 	query = strchr(path, '?');
 	if (query)
 		*query++ = 0;
+	name = strchr(path, '/');
+	if (name)
+		*name++ = 0;
+	if (w->now_ms < store.lost_until_ms && wrandom(w, 100) < LOST_PERCENT) {
+		/* A write whose answer is lost may have been done. */
+		if (strcmp(method, "GET") != 0 && wrandom(w, 2))
+			conn->unanswered = true;
+		else
+			conn->silent = true;
+	}
+	if (conn->silent)
+		return;
+	if (strcmp(method, "GET") != 0) {
+		write_object(w, conn, path, !strcmp(method, "POST"));
+		return;
+	}
 	conn->stale_ok = query && strstr(query, "stale_ok=1");
+	if (name) {
+		get_object(conn, path, name);
+		return;
+	}
 	watch = query_value(query ? query : "", "watch");
 	wait = query_value(query ? query : "", "wait_ms");
 	after = query_value(query ? query : "", "after");
@@ -373,6 +457,20 @@
 	}
 }
 
+/* Whether the head of the request and all of its body have come. */
+static bool is_whole(const GString *request)
+{
+	const char *end = strstr(request->str, "\r\n\r\n");
+	const char *length;
+
+	if (!end)
+		return false;
+	length = strcasestr(request->str, "\r\ncontent-length:");
+	if (!length || length > end)
+		return true;
+	return strlen(end + 4) >= strtoul(strchr(length, ':') + 1, NULL, 10);
+}
+
 static void read_connection(struct world *w, struct connection *conn)
 {
 	char buf[2048];
@@ -385,7 +483,7 @@
 		return;
 	}
 	g_string_append_len(conn->request, buf, len);
-	if (!conn->kind && !conn->answer && !conn->silent && strstr(conn->request->str, "\r\n\r\n"))
+	if (!conn->kind && !conn->answer && !conn->silent && is_whole(conn->request))
 		handle(w, conn);
 }
 
--- a/t/world/world.c
+++ b/t/world/world.c
@@ -1,5 +1,6 @@
 /*
- * world --dir DIR [--binary FILE] [--instances N] [--callers N] [--seconds S] [--faults] [--seed N]
+ * world --dir DIR [--binary FILE] [--instances N] [--callers N] [--seconds S] [--no-relay]
+ * [--faults] [--seed N]
  *     [--net N] [--watch-pause MS] [--only FAULT,...] [--work MS]
  *
  * Writes to DIR the settings and logs of the instances and failed-tries.txt: a line for each try of
@@ -45,6 +46,7 @@
 	unsigned int callers;
 	unsigned int seconds;
 	unsigned int watch_pause_ms;
+	bool no_relay; /* each instance reads the store alone */
 	bool faults;
 	bool only[FAULT_KINDS]; /* the kinds that strike */
 	uint64_t seed;
@@ -133,7 +135,8 @@
 static void add_instance(struct world *w, const struct options *opts, unsigned int nr)
 {
 	struct instance *inst = g_new0(struct instance, 1);
-	char addresses[4][ADDRESS_TEXT];
+	char addresses[5][ADDRESS_TEXT];
+	char peers[ADDRESS_TEXT + 16] = "";
 	char *text;
 
 	inst->nr = nr;
@@ -142,15 +145,18 @@
 	inst->ready_fd = -1;
 	inst->settings = g_strdup_printf("%s/edge-%u.json", opts->dir, nr);
 	inst->log = g_strdup_printf("%s/edge-%u.log", opts->dir, nr);
+	if (!opts->no_relay)
+		g_snprintf(peers, sizeof(peers), "\"peers\":\"%s\",",
+			   world_address(PART_INSTANCE, inst->dc, nr + 1, PEER_PORT, addresses[4]));
 	text = g_strdup_printf(
 		"// Written by the emulator.\n{\"name\":\"edge-%u\",\"data_centre\":\"dc%u\","
 		"\"packets\":\"%s\",\"ready\":\"%s\",\"metrics\":\"%s\",\"store\":\"%s\","
-		"\"stop_s\":%d,\"watch_pause_ms\":%u}\n",
+		"%s\"stop_s\":%d,\"watch_pause_ms\":%u}\n",
 		nr, inst->dc,
 		world_address(PART_INSTANCE, inst->dc, nr + 1, UDP_PORT, addresses[0]),
 		world_address(PART_INSTANCE, inst->dc, nr + 1, READY_PORT, addresses[1]),
 		world_address(PART_INSTANCE, inst->dc, nr + 1, METRICS_PORT, addresses[2]),
-		world_address(PART_STORE, 0, nr, STORE_PORT, addresses[3]), GRACE_S,
+		world_address(PART_STORE, 0, nr, STORE_PORT, addresses[3]), peers, GRACE_S,
 		opts->watch_pause_ms);
 	if (!g_file_set_contents(inst->settings, text, -1, NULL))
 		g_error("cannot write %s", inst->settings);
@@ -666,6 +672,7 @@
 		.seconds = (unsigned int)atoi(option(argc, argv, "--seconds", "12")),
 		.seed = strtoull(option(argc, argv, "--seed", "1"), NULL, 10),
 		.faults = flag(argc, argv, "--faults"),
+		.no_relay = flag(argc, argv, "--no-relay"),
 		.watch_pause_ms = (unsigned int)atoi(option(argc, argv, "--watch-pause", "700")),
 	};
 	static struct world w;
@@ -676,7 +683,7 @@
 	if (!parse_faults(option(argc, argv, "--only", ""), opts.only) || !opts.dir ||
 	    opts.instances < 1 || opts.instances > 64 || opts.seconds < 8) {
 		fprintf(stderr, "usage: world --dir DIR [--binary FILE] [--instances N] "
-				"[--callers N] [--seconds S] [--faults] [--seed N]\n");
+				"[--callers N] [--seconds S] [--no-relay] [--faults] [--seed N]\n");
 		return 2;
 	}
 	world_net = (unsigned int)atoi(option(argc, argv, "--net", "0")) % 30;
--- /dev/null
+++ b/view.c
@@ -0,0 +1,291 @@
+#include "view.h"
+
+#include <string.h>
+
+#include "timeutil.h"
+
+/* A page fits a datagram of 1,280 bytes with its other fields and the names. */
+#define PAGE_TARGETS 14
+#define PAGE_BYTES   900
+/* Of a target besides its identifier. */
+#define TARGET_BYTES 60
+#define HALF_BITS    16
+#define HALF_MASK    0xffffu
+
+/* Names of the services and data centres of a page. */
+struct name_table {
+	uint32_t symbols[PEER_MAX_VIEW_NAMES];
+	peer_name names[PEER_MAX_VIEW_NAMES];
+	u_int nr;
+};
+
+static uint32_t index_of(struct name_table *table, const struct symbols *syms, uint32_t sym)
+{
+	u_int i;
+
+	for (i = 0; i < table->nr; i++) {
+		if (table->symbols[i] == sym)
+			return i;
+	}
+	table->symbols[i] = sym;
+	table->names[i] = (char *)symbols_name(syms, sym);
+	table->nr++;
+	return i;
+}
+
+static void write_target(const struct beliefs *bel, const struct reg_target *tgt,
+			 struct name_table *table, struct timespec now, peer_view_target *out)
+{
+	int64_t keep_ms = beliefs_keep_ms(bel, tgt, now);
+	uint32_t service = index_of(table, &bel->symbols, tgt->service);
+	uint32_t data_centre = index_of(table, &bel->symbols, tgt->data_centre);
+
+	*out = (peer_view_target){
+		.id = tgt->id->str,
+		.revision = (uint64_t)tgt->revision,
+		.wire_id = tgt->wire_id,
+		.ip = tgt->ep.ip,
+		.port_slots = (uint32_t)tgt->ep.port << HALF_BITS | MIN(tgt->slots, HALF_MASK),
+		.names = service << HALF_BITS | data_centre,
+		.cold_ms = (uint32_t)MAX(ts_diff_ms(tgt->warm_at, now), 0),
+		.born_ms = tgt->born_ms,
+	};
+	if (tgt->phase == TARGET_DRAINING)
+		out->flags |= PEER_VIEW_DRAINING;
+	if (tgt->phase == TARGET_GONE)
+		out->flags |= PEER_VIEW_GONE;
+	if (keep_ms >= 0) {
+		out->flags |= PEER_VIEW_LAPSED;
+		out->keep_ms = (uint32_t)keep_ms;
+	}
+}
+
+static u_int withdrawn_names(const struct beliefs *bel, peer_name names[PEER_MAX_VIEW_NAMES])
+{
+	GHashTableIter iter;
+	gpointer sym;
+	u_int nr = 0;
+
+	g_hash_table_iter_init(&iter, bel->placing.withdrawn);
+	while (g_hash_table_iter_next(&iter, &sym, NULL) && nr < PEER_MAX_VIEW_NAMES)
+		names[nr++] = (char *)symbols_name(&bel->symbols, GPOINTER_TO_UINT(sym));
+	return nr;
+}
+
+static int64_t oldest_ms(const struct beliefs *bel, struct timespec now)
+{
+	int64_t age = 0;
+
+	for (size_t i = 0; i < BELIEF_KINDS; i++)
+		age = MAX(age, ts_diff_ms(now, bel->heard[i]));
+	return age;
+}
+
+/* Where the page that begins at target @at ends. */
+static guint page_end(const GPtrArray *changed, guint at)
+{
+	guint end = at;
+	size_t size = 0;
+
+	while (end < changed->len && end - at < PAGE_TARGETS) {
+		const struct reg_target *tgt = g_ptr_array_index(changed, end);
+
+		size += TARGET_BYTES + tgt->id->len;
+		if (end > at && size > PAGE_BYTES)
+			break;
+		end++;
+	}
+	return end;
+}
+
+static peer_view_next next_of(guint end, guint nr, unsigned int page, unsigned int max_pages)
+{
+	if (end == nr)
+		return PEER_VIEW_LAST;
+	return page + 1 == max_pages ? PEER_VIEW_ASK_MORE : PEER_VIEW_FOLLOWS;
+}
+
+int64_t view_base(const struct beliefs *bel, int64_t known)
+{
+	return known < registry_forgotten(bel->registry) ? 0 : known;
+}
+
+bool view_write(const struct beliefs *bel, const struct view_range *range, struct timespec now,
+		view_send send, void *arg)
+{
+	const GPtrArray *changed = range->changed;
+	peer_name withdrawn[PEER_MAX_VIEW_NAMES];
+	peer_view_target targets[PAGE_TARGETS];
+	peer_msg msg = { .type = PEER_VIEW };
+	peer_view_page *page = &msg.peer_msg_u.view;
+	char *after = (char *)range->after;
+	unsigned int nr = 0;
+	guint at = 0;
+
+	*page = (peer_view_page){
+		.session = range->session,
+		.reader = range->reader,
+		.age_ms = (uint32_t)MIN(oldest_ms(bel, now), UINT32_MAX),
+		.targets_revision = (uint64_t)bel->complete[BELIEF_TARGETS],
+		.config_revision = (uint64_t)bel->complete[BELIEF_CONFIG],
+		.withdrawals_revision = (uint64_t)bel->complete[BELIEF_WITHDRAWALS],
+		.config_version = routing_version(bel->routing),
+		.withdrawn.withdrawn_val = withdrawn,
+		.withdrawn.withdrawn_len = withdrawn_names(bel, withdrawn),
+		.base = (uint64_t)range->base,
+		.targets.targets_val = targets,
+	};
+	do {
+		guint end = page_end(changed, at);
+		struct name_table table = { .nr = 0 };
+
+		page->after = after;
+		page->next = next_of(end, changed->len, nr, range->max_pages);
+		page->targets.targets_len = end - at;
+		for (guint i = at; i < end; i++)
+			write_target(bel, g_ptr_array_index(changed, i), &table, now,
+				     &targets[i - at]);
+		page->names.names_len = table.nr;
+		page->names.names_val = table.names;
+		send(arg, &msg);
+		if (end > at)
+			after = ((struct reg_target *)g_ptr_array_index(changed, end - 1))->id->str;
+		at = end;
+		nr++;
+	} while (page->next == PEER_VIEW_FOLLOWS);
+	return page->next == PEER_VIEW_LAST;
+}
+
+void view_progress_init(struct view_progress *vp)
+{
+	*vp = (struct view_progress){ .after = g_string_new(NULL) };
+}
+
+void view_progress_release(struct view_progress *vp)
+{
+	g_string_free(vp->after, TRUE);
+}
+
+void view_progress_reset(struct view_progress *vp)
+{
+	vp->active = false;
+	g_string_truncate(vp->after, 0);
+}
+
+/* Whether the targets of a page can be taken over. */
+static bool is_valid(const peer_view_page *page)
+{
+	const char *last = page->after;
+
+	for (u_int i = 0; i < page->targets.targets_len; i++) {
+		const peer_view_target *tgt = &page->targets.targets_val[i];
+
+		if (strcmp(tgt->id, last) <= 0 ||
+		    tgt->names >> HALF_BITS >= page->names.names_len ||
+		    (tgt->names & HALF_MASK) >= page->names.names_len ||
+		    !(tgt->port_slots >> HALF_BITS) || !(tgt->port_slots & HALF_MASK) ||
+		    tgt->revision > INT64_MAX)
+			return false;
+		last = tgt->id;
+	}
+	return page->targets_revision && page->targets_revision <= INT64_MAX &&
+	       page->config_revision <= INT64_MAX && page->withdrawals_revision <= INT64_MAX &&
+	       page->base <= page->targets_revision;
+}
+
+static void take_target(struct beliefs *bel, const peer_view_page *page,
+			const peer_view_target *tgt, struct timespec now)
+{
+	char *const *names = page->names.names_val;
+	struct target_info info = {
+		.id = tgt->id,
+		.wire_id = tgt->wire_id,
+		.ep = { tgt->ip, (uint16_t)(tgt->port_slots >> HALF_BITS) },
+		.service = symbols_intern(&bel->symbols, names[tgt->names >> HALF_BITS]),
+		.data_centre = symbols_intern(&bel->symbols, names[tgt->names & HALF_MASK]),
+		.slots = tgt->port_slots & HALF_MASK,
+		.draining = tgt->flags & PEER_VIEW_DRAINING,
+		.cold_ms = tgt->cold_ms,
+		.born_ms = tgt->born_ms,
+		.revision = (int64_t)tgt->revision,
+	};
+
+	if (tgt->flags & PEER_VIEW_GONE) {
+		registry_remove(bel->registry, tgt->id, bel->answer, now);
+		return;
+	}
+	beliefs_target(bel, &info, now);
+	if (tgt->flags & PEER_VIEW_LAPSED)
+		beliefs_target_lapsed(bel, tgt->id, tgt->keep_ms, now);
+}
+
+static void take_withdrawals(struct beliefs *bel, const peer_view_page *page, struct timespec now)
+{
+	if ((int64_t)page->withdrawals_revision < bel->complete[BELIEF_WITHDRAWALS])
+		return;
+	beliefs_withdrawals_begin(bel);
+	for (u_int i = 0; i < page->withdrawn.withdrawn_len; i++)
+		beliefs_withdraw(bel, page->withdrawn.withdrawn_val[i], true, now);
+	beliefs_withdrawals_end(bel, now);
+	beliefs_complete(bel, BELIEF_WITHDRAWALS, (int64_t)page->withdrawals_revision);
+}
+
+static bool continues(const struct view_progress *vp, const peer_view_page *page)
+{
+	return vp->active && vp->base == (int64_t)page->base &&
+	       !strcmp(vp->after->str, page->after);
+}
+
+static bool begins(const struct beliefs *bel, const peer_view_page *page)
+{
+	return !*page->after && (int64_t)page->base <= bel->complete[BELIEF_TARGETS];
+}
+
+static void begin(struct beliefs *bel, struct view_progress *vp, const peer_view_page *page)
+{
+	view_progress_reset(vp);
+	vp->active = true;
+	vp->base = (int64_t)page->base;
+	vp->first = (int64_t)page->targets_revision;
+	if (!page->base)
+		beliefs_targets_begin(bel);
+}
+
+static void complete(struct beliefs *bel, struct view_progress *vp, const peer_view_page *page,
+		     struct timespec now)
+{
+	if (!vp->base)
+		beliefs_targets_end(bel, now);
+	beliefs_complete(bel, BELIEF_TARGETS, vp->first);
+	view_progress_reset(vp);
+	/* The versions are equal: nothing of the configuration has changed up to there. */
+	if (page->config_version && page->config_version == routing_version(bel->routing))
+		beliefs_complete(bel, BELIEF_CONFIG, (int64_t)page->config_revision);
+}
+
+enum view_result view_take(struct beliefs *bel, struct view_progress *vp,
+			   const peer_view_page *page, struct timespec now)
+{
+	u_int nr = page->targets.targets_len;
+
+	if (!is_valid(page))
+		return VIEW_MALFORMED;
+	if ((int64_t)page->targets_revision < bel->complete[BELIEF_TARGETS])
+		return VIEW_BEHIND;
+	take_withdrawals(bel, page, now);
+	bel->config_wanted = MAX(bel->config_wanted, page->config_version);
+	if (!continues(vp, page)) {
+		if (!begins(bel, page))
+			return VIEW_GAP;
+		begin(bel, vp, page);
+	}
+	beliefs_answer(bel, (int64_t)page->targets_revision);
+	for (u_int i = 0; i < nr; i++)
+		take_target(bel, page, &page->targets.targets_val[i], now);
+	if (nr)
+		g_string_assign(vp->after, page->targets.targets_val[nr - 1].id);
+	if (page->next != PEER_VIEW_LAST)
+		return VIEW_TAKEN;
+	complete(bel, vp, page, now);
+	return VIEW_COMPLETE;
+}
