steer: let openings wait for a usable target

Cause: an opening without a usable target was reset at once, and its caller used up its three tries within milliseconds.

Change: such an opening waits in a bounded queue (waiting.c) for half of its route's time-out, at most 1.3 s, and is placed when a target can be used again: important routes first, then the newest, four in progress at a target with two slots. It is refused at once when no target is listed, or the outage has lasted for four time-outs. The platform's timeout_ms of a route is read for this.

Without the wait 3 scripts of t/test-steer.c fail at "syn c2 443", which is reset.

--- a/admission.h
+++ b/admission.h
@@ -20,10 +20,11 @@
 	struct timespec sampled; /* time of the latest sample */
 };
 
-/* Response time goal and priority of a route. */
+/* Response time goal, time-out and priority of a route. */
 struct admission_class {
-	uint32_t goal_ms;  /* within which a request should be answered; 0 for no goal */
-	uint32_t priority; /* 0 is the highest */
+	uint32_t goal_ms;    /* within which a request should be answered; 0 for no goal */
+	uint32_t priority;   /* 0 is the highest */
+	uint32_t timeout_ms; /* of a request, from the caller's first try; 0 if unknown */
 };
 
 /* Adds a sample: a request that was answered at @now after @ms milliseconds. */
--- a/decision.c
+++ b/decision.c
@@ -14,7 +14,7 @@
 	[DECISION_OPEN] = "open",   [DECISION_ACCEPT] = "accept",   [DECISION_REFUSE] = "refuse",
 	[DECISION_ADOPT] = "adopt", [DECISION_STALL] = "stall",	    [DECISION_RESET] = "reset",
 	[DECISION_DROP] = "drop",   [DECISION_TARGET] = "target",   [DECISION_CONFIG] = "config",
-	[DECISION_STORE] = "store", [DECISION_PROCESS] = "process",
+	[DECISION_STORE] = "store", [DECISION_PROCESS] = "process", [DECISION_WAIT] = "wait",
 };
 
 struct line_budget {
--- a/decision.h
+++ b/decision.h
@@ -13,6 +13,7 @@
 
 enum decision_kind {
 	DECISION_OPEN,	  /* an opening was placed */
+	DECISION_WAIT,	  /* an opening waits because no target can take it */
 	DECISION_ACCEPT,  /* a target accepted an opening */
 	DECISION_REFUSE,  /* an opening, or a packet of an unknown flow, was reset */
 	DECISION_ADOPT,	  /* a flow of another instance, or without an entry here, was added */
--- a/edge-counters.h
+++ b/edge-counters.h
@@ -13,6 +13,8 @@
 	X(openings, "openings from callers, without retransmissions")                              \
 	X(opening_copies, "openings retransmitted by callers")                                     \
 	X(openings_moved, "openings sent to another target after the first one failed")            \
+	X(openings_waited, "openings that waited for a usable target")                             \
+	X(openings_placed_late, "openings sent to a target after they had waited")                 \
 	X(openings_unanswered, "openings that ended without an acceptance on this instance")       \
 	X(flows_accepted, "flows accepted on this instance")                                       \
 	X(flows_adopted, "flows that another instance had opened")                                 \
--- a/edge-metrics.c
+++ b/edge-metrics.c
@@ -68,6 +68,8 @@
 #undef ADD_COUNTER
 	registry_each(cs->registry, count_target, &counts);
 	add_gauge(out, "flows", "flows in the flow table", steer_flow_count(cs->steer));
+	add_gauge(out, "openings_waiting", "openings that wait for a usable target",
+		  steer_waiting_count(cs->steer));
 	add_gauge(out, "targets_ready", "targets that are ready", counts.phases[TARGET_READY]);
 	add_gauge(out, "targets_draining", "targets that are draining",
 		  counts.phases[TARGET_DRAINING]);
--- a/edge.c
+++ b/edge.c
@@ -649,6 +649,8 @@
 {
 	while (lws_service(edge->context, 0) >= 0 && !stop_complete(edge))
 		;
+	steer_stop(edge->control_state.steer, edge_now(edge));
+	flush_outboxes(edge);
 	decision_log(DECISION_PROCESS, edge_now(edge), "state=stopped flows=%u",
 		     steer_flow_count(edge->control_state.steer));
 }
--- a/explain.c
+++ b/explain.c
@@ -339,6 +339,7 @@
 	{ "reset", "reason", "target_gone", "its target had left the list and did not answer" },
 	{ "reset", "reason", "target_reborn", "its target had restarted" },
 	{ "reset", "reason", "route_withdrawn", "the configuration dropped its route" },
+	{ "wait", "", "", "its opening waited because no target could take it" },
 	{ "refuse", "reason", "no_route", "no route had its address" },
 	{ "refuse", "reason", "no_target", "no target could take it" },
 	{ "refuse", "reason", "overloaded", "its target would have answered too late" },
--- a/packet.h
+++ b/packet.h
@@ -20,6 +20,12 @@
 	return a.ip == b.ip && a.port == b.port;
 }
 
+/* Key of an endpoint in hash tables. */
+static inline uint64_t address_key(struct endpoint ep)
+{
+	return (uint64_t)ep.ip << 16 | ep.port;
+}
+
 /* The address to which callers of a service send; identifies the service in messages. */
 struct service_addr {
 	struct endpoint ep;
--- a/placing.c
+++ b/placing.c
@@ -245,3 +245,21 @@
 		best->last_cold_opening = req->now;
 	return best;
 }
+
+bool placing_has_listed(const struct placing *pl, const struct route_rule *rule)
+{
+	for (size_t i = 0; i < rule->nr_services; i++) {
+		const GPtrArray *list = NULL;
+
+		if (rule->services[i].weight)
+			list = registry_by_service(pl->opts.registry, rule->services[i].service);
+		for (guint j = 0; list && j < list->len; j++) {
+			const struct reg_target *tgt = g_ptr_array_index(list, j);
+
+			if (tgt->phase == TARGET_READY &&
+			    !placing_is_withdrawn(pl, tgt->data_centre))
+				return true;
+		}
+	}
+	return false;
+}
--- a/placing.h
+++ b/placing.h
@@ -52,6 +52,12 @@
 void placing_withdraw(struct placing *pl, uint32_t data_centre, bool withdrawn);
 bool placing_is_withdrawn(const struct placing *pl, uint32_t data_centre);
 
+/*
+ * Whether a target of the route is listed, and its data centre not withdrawn, so that it could take
+ * openings as soon as it answers.
+ */
+bool placing_has_listed(const struct placing *pl, const struct route_rule *rule);
+
 /* Returns NULL when no target can take the opening. */
 struct reg_target *placing_choose(struct placing *pl, const struct placing_request *req);
 
--- a/registry.h
+++ b/registry.h
@@ -66,6 +66,7 @@
 	GQueue flows; /* struct steer_flow, linked by its target_link */
 	uint32_t open_flows;
 	uint32_t busy_flows; /* with a request that has no answer yet */
+	uint32_t unaccepted; /* openings sent to it that no target has accepted yet */
 	enum target_trust trust;
 	struct timespec last_alive;  /* latest sign of life from traffic or a probe */
 	struct timespec last_answer; /* latest sign of life from traffic alone */
--- a/routing.c
+++ b/routing.c
@@ -16,11 +16,6 @@
 	uint32_t next_idle_timeout_ms;
 };
 
-static gint64 address_key(struct endpoint ep)
-{
-	return (gint64)ep.ip << 16 | ep.port;
-}
-
 static GHashTable *new_routes(void)
 {
 	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -59,7 +54,7 @@
 
 void routing_add_route(struct routing *rt, const struct route_rule *rule)
 {
-	gint64 key = address_key(rule->address);
+	uint64_t key = address_key(rule->address);
 
 	g_hash_table_replace(rt->next_routes, g_memdup2(&key, sizeof(key)),
 			     g_memdup2(rule, sizeof(*rule)));
@@ -78,7 +73,7 @@
 	g_hash_table_iter_init(&iter, rt->routes);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		if (!g_hash_table_contains(rt->next_routes, key))
-			g_hash_table_add(rt->withdrawn, g_memdup2(key, sizeof(gint64)));
+			g_hash_table_add(rt->withdrawn, g_memdup2(key, sizeof(uint64_t)));
 	}
 	g_hash_table_iter_init(&iter, rt->next_routes);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
@@ -129,14 +124,14 @@
 
 const struct route_rule *routing_find(const struct routing *rt, struct endpoint address)
 {
-	gint64 key = address_key(address);
+	uint64_t key = address_key(address);
 
 	return g_hash_table_lookup(rt->routes, &key);
 }
 
 bool routing_withdrawn(const struct routing *rt, struct endpoint address)
 {
-	gint64 key = address_key(address);
+	uint64_t key = address_key(address);
 
 	return g_hash_table_contains(rt->withdrawn, &key);
 }
--- a/steer-flow.c
+++ b/steer-flow.c
@@ -137,6 +137,9 @@
 		return;
 	if (flow->opening->verify_queued)
 		g_queue_unlink(&st->unverified, &flow->opening->verify_link);
+	waiting_remove(&st->waiting, &flow->opening->waiting);
+	for (size_t i = 0; i < flow->opening->nr_tried; i++)
+		flow->opening->tried[i]->unaccepted--;
 	g_free(flow->opening);
 	flow->opening = NULL;
 }
--- a/steer-internal.h
+++ b/steer-internal.h
@@ -5,6 +5,7 @@
 #include "decision.h"
 #include "steer.h"
 #include "timeutil.h"
+#include "waiting.h"
 
 /* Request ids are truncated to this in logs. */
 #define REQUEST_ID_BYTES 36
@@ -24,6 +25,7 @@
 	struct timespec verify_due;
 	GList verify_link; /* in steer.unverified while verify_queued */
 	bool verify_queued;
+	struct waiting_item waiting;
 	size_t size;
 	uint8_t bytes[]; /* of the opening packet */
 };
@@ -52,7 +54,9 @@
 	struct steer_options opts;
 	GHashTable *flows;
 	GQueue by_state[FLOW_STATES];
-	GQueue unverified;    /* struct steer_flow by verify_due */
+	GQueue unverified;	/* struct steer_flow by verify_due */
+	struct waiting waiting; /* struct steer_flow in FLOW_OPENING that no target was tried for */
+	struct timespec next_waiting_pass;
 	GPtrArray *untrusted; /* struct reg_target: the suspected and dead ones */
 	struct registry_listener listener;
 	struct timespec next_sweep;
@@ -90,6 +94,28 @@
 /* Sends the openings that were sent to @tgt last to other targets. */
 void steer_move_openings(struct steer *st, struct reg_target *tgt, struct timespec now);
 
+/* Sends a flow's opening to a target, and queues its verification. */
+void steer_send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
+			const char *why, struct timespec now);
+/* Resets an opening. @tgt: the last target that was considered, for the log; NULL for none. */
+void steer_refuse(struct steer *st, const struct flow_addr *addr, uint32_t seq,
+		  enum reset_reason reason, const struct reg_target *tgt, struct timespec now);
+
+/* Openings without a usable target; steer-wait.c. */
+/* Whether earlier openings of the service wait, so that a new one has to queue behind them. */
+bool steer_wait_has_queue(const struct steer *st, struct endpoint service);
+/*
+ * Queues the opening of a flow that has no usable target. Returns false if it must be refused:
+ * when it is unlikely to be served in time, or the queue is full of openings as important.
+ */
+bool steer_wait_begin(struct steer *st, struct steer_flow *flow, const struct route_rule *rule,
+		      struct timespec now);
+/* An opening of the service has been placed at once. */
+void steer_wait_not_needed(struct steer *st, struct endpoint service, struct timespec now);
+int64_t steer_wait_due_ms(const struct steer *st, struct timespec now);
+/* Places waiting openings whose targets can be used again, and refuses those past their limit. */
+void steer_wait_timer(struct steer *st, struct timespec now);
+
 /* Failure detection; suspicion.c. */
 /* A packet of a caller shows that the target has answered. */
 void suspicion_note_answer(struct steer *st, struct reg_target *tgt, struct timespec now);
--- a/steer.c
+++ b/steer.c
@@ -62,27 +62,34 @@
 	st->opts.out->ops->forward(st->opts.out, tgt, registry_mark(tgt, service), bytes, size);
 }
 
-/* @tgt: the last target that was considered, for the log; NULL for none. */
-static void refuse(struct steer *st, const struct caller_packet *pkt, enum reset_reason reason,
-		   const struct reg_target *tgt, struct timespec now)
+void steer_refuse(struct steer *st, const struct flow_addr *addr, uint32_t seq,
+		  enum reset_reason reason, const struct reg_target *tgt, struct timespec now)
 {
-	const struct route_rule *rule = routing_find(st->opts.routing, pkt->service);
-	struct flow_addr addr = { pkt->caller, pkt->service };
+	const struct route_rule *rule = routing_find(st->opts.routing, addr->service);
 	char text[FLOW_TEXT_LEN];
 
 	(*reset_counter(st->opts.counters, reason))++;
-	st->opts.out->ops->reset(st->opts.out, &addr, pkt->ack);
+	st->opts.out->ops->reset(st->opts.out, addr, seq);
 	decision_log(
 		DECISION_REFUSE, now,
 		"flow=%s reason=%s target=%s response_ms=%u goal_ms=%u priority=%u config=%llu "
 		"config_age_ms=%lld",
-		flow_text(&addr, text), reset_reason_name(reason), tgt ? tgt->id->str : "",
+		flow_text(addr, text), reset_reason_name(reason), tgt ? tgt->id->str : "",
 		tgt ? response_time_ms(&tgt->responses, now) : 0,
 		rule ? rule->admission.goal_ms : 0, rule ? rule->admission.priority : 0,
 		(unsigned long long)routing_version(st->opts.routing),
 		(long long)ts_diff_ms(now, routing_commit_time(st->opts.routing)));
 }
 
+static void refuse_packet(struct steer *st, const struct caller_packet *pkt,
+			  enum reset_reason reason, const struct reg_target *tgt,
+			  struct timespec now)
+{
+	struct flow_addr addr = { pkt->caller, pkt->service };
+
+	steer_refuse(st, &addr, pkt->ack, reason, tgt, now);
+}
+
 void steer_reset_flow(struct steer *st, struct steer_flow *flow, enum reset_reason reason,
 		      struct timespec now)
 {
@@ -124,14 +131,25 @@
 	}
 }
 
-static void send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
-			 const char *why, struct timespec now)
+static void queue_verify(struct steer *st, struct steer_flow *flow, struct timespec now)
+{
+	struct opening *op = flow->opening;
+
+	op->verify_link.data = flow;
+	op->verify_due = ts_add_ms(now, st->opts.verify_ms);
+	op->verify_queued = true;
+	g_queue_push_tail_link(&st->unverified, &op->verify_link);
+}
+
+void steer_send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
+			const char *why, struct timespec now)
 {
 	struct opening *op = flow->opening;
 	char text[FLOW_TEXT_LEN];
 
 	op->tried[op->nr_tried] = tgt;
 	op->sent[op->nr_tried++] = now;
+	tgt->unaccepted++;
 	if (!flow->target)
 		steer_flow_set_target(flow, tgt);
 	decision_log(DECISION_OPEN, now,
@@ -143,6 +161,8 @@
 		     (unsigned long long)routing_version(st->opts.routing),
 		     (long long)ts_diff_ms(now, tgt->changed));
 	send_to(st, tgt, flow->addr.service, op->bytes, op->size);
+	if (op->nr_tried == 1 && st->opts.verify_ms)
+		queue_verify(st, flow, now);
 }
 
 /* Sends the opening to a target not yet tried. Returns false when there is none. */
@@ -160,7 +180,7 @@
 	req.flow_digest = steer_flow_digest(&flow->addr);
 	tgt = placing_choose(st->opts.placing, &req);
 	if (tgt)
-		send_opening(st, flow, tgt, why, now);
+		steer_send_opening(st, flow, tgt, why, now);
 	return tgt;
 }
 
@@ -180,9 +200,10 @@
 	return NULL;
 }
 
+/* NULL while the opening waits for a usable target. */
 static struct reg_target *last_tried(const struct opening *op)
 {
-	return op->tried[op->nr_tried - 1];
+	return op->nr_tried ? op->tried[op->nr_tried - 1] : NULL;
 }
 
 static void suspect_last_tried(struct steer *st, const struct opening *op, struct timespec now)
@@ -208,8 +229,10 @@
 	struct reg_target *tgt = last_tried(op);
 
 	st->opts.counters->opening_copies++;
-	suspect_last_tried(st, op, now);
 	steer_flow_touch(st, flow, now);
+	if (!tgt)
+		return;
+	suspect_last_tried(st, op, now);
 	if ((tgt->trust != TRUST_ALIVE || tgt->phase != TARGET_READY ||
 	     may_be_replaced(st, op, tgt)) &&
 	    try_target(st, flow, rule, "copy", now)) {
@@ -233,16 +256,6 @@
 	}
 }
 
-static void queue_verify(struct steer *st, struct steer_flow *flow, struct timespec now)
-{
-	struct opening *op = flow->opening;
-
-	op->verify_link.data = flow;
-	op->verify_due = ts_add_ms(now, st->opts.verify_ms);
-	op->verify_queued = true;
-	g_queue_push_tail_link(&st->unverified, &op->verify_link);
-}
-
 static void place_opening(struct steer *st, const struct caller_packet *pkt,
 			  const struct route_rule *rule, struct timespec now)
 {
@@ -252,31 +265,38 @@
 		.now = now,
 		.flow_digest = steer_flow_digest(&addr),
 	};
-	struct reg_target *tgt = admit(st, &req);
+	struct reg_target *tgt = NULL;
 	struct steer_flow *flow;
 
 	st->opts.counters->openings++;
 	histogram_add(&st->target_list_ages, ts_diff_ms(now, *st->opts.targets_confirmed));
-	if (!tgt) {
-		const struct reg_target *last = req.nr_tried ? req.tried[req.nr_tried - 1] : NULL;
-
-		refuse(st, pkt, last ? RESET_OVERLOADED : RESET_NO_TARGET, last, now);
+	if (!steer_wait_has_queue(st, pkt->service))
+		tgt = admit(st, &req);
+	if (!tgt && req.nr_tried) {
+		refuse_packet(st, pkt, RESET_OVERLOADED, req.tried[req.nr_tried - 1], now);
 		return;
 	}
 	flow = steer_flow_add(st, &addr, FLOW_OPENING, now);
-	if (!flow) {
+	if (flow) {
+		flow->opening = g_malloc0(sizeof(struct opening) + pkt->size);
+		flow->opening->size = pkt->size;
+		memcpy(flow->opening->bytes, pkt->bytes, pkt->size);
+		flow->opening_seq = pkt->seq;
+	}
+	if (tgt) {
+		steer_wait_not_needed(st, pkt->service, now);
+		if (flow) {
+			steer_send_opening(st, flow, tgt, "first", now);
+			return;
+		}
 		/* The table is full: later packets are forwarded by their mark alone. */
 		st->opts.counters->flows_untracked++;
 		send_to(st, tgt, pkt->service, pkt->bytes, pkt->size);
-		return;
+	} else if (!flow || !steer_wait_begin(st, flow, rule, now)) {
+		refuse_packet(st, pkt, RESET_NO_TARGET, NULL, now);
+		if (flow)
+			steer_flow_remove(st, flow);
 	}
-	flow->opening = g_malloc0(sizeof(struct opening) + pkt->size);
-	flow->opening->size = pkt->size;
-	memcpy(flow->opening->bytes, pkt->bytes, pkt->size);
-	flow->opening_seq = pkt->seq;
-	send_opening(st, flow, tgt, "first", now);
-	if (st->opts.verify_ms)
-		queue_verify(st, flow, now);
 }
 
 static void handle_opening(struct steer *st, struct steer_flow *flow,
@@ -298,7 +318,7 @@
 	if (rule)
 		place_opening(st, pkt, rule, now);
 	else
-		refuse(st, pkt, RESET_NO_ROUTE, NULL, now);
+		refuse_packet(st, pkt, RESET_NO_ROUTE, NULL, now);
 }
 
 /* The caller's next packet shows which of the tried targets accepted the opening. */
@@ -431,7 +451,7 @@
 	if (flow)
 		steer_reset_flow(st, flow, RESET_ROUTE_WITHDRAWN, now);
 	else if (!pkt->rst)
-		refuse(st, pkt, RESET_ROUTE_WITHDRAWN, NULL, now);
+		refuse_packet(st, pkt, RESET_ROUTE_WITHDRAWN, NULL, now);
 	return true;
 }
 
@@ -528,6 +548,7 @@
 	verify_openings(st, now);
 	if (st->untrusted->len)
 		suspicion_timer(st, now);
+	steer_wait_timer(st, now);
 	if (ts_cmp(now, st->next_sweep) >= 0) {
 		st->next_sweep = ts_add_ms(now, SWEEP_INTERVAL_MS);
 		steer_flows_expire(st, now);
@@ -543,6 +564,7 @@
 	if (flow)
 		due = MIN(due, ts_diff_ms(flow->opening->verify_due, now));
 	due = MIN(due, suspicion_due_ms(st, now));
+	due = MIN(due, steer_wait_due_ms(st, now));
 	return MAX(due, 1);
 }
 
@@ -592,6 +614,7 @@
 	for (size_t i = 0; i < FLOW_STATES; i++)
 		g_queue_init(&st->by_state[i]);
 	g_queue_init(&st->unverified);
+	waiting_init(&st->waiting);
 	steer_flows_init(st);
 	registry_set_listener(opts->registry, &st->listener);
 	return st;
@@ -608,6 +631,7 @@
 			steer_flow_remove(st, flow);
 	}
 	registry_set_listener(st->opts.registry, NULL);
+	waiting_release(&st->waiting);
 	g_hash_table_unref(st->flows);
 	g_ptr_array_unref(st->untrusted);
 	g_hash_table_unref(st->latest_deaths);
--- a/steer.h
+++ b/steer.h
@@ -105,6 +105,8 @@
 /* One of the connections that steer_out_ops.probe opens has ended. */
 void steer_probe_done(struct steer *st, struct reg_target *tgt, enum probe_result result,
 		      struct timespec now);
+/* The process ends: resets the openings that still wait for a target, which have not run. */
+void steer_stop(struct steer *st, struct timespec now);
 /* To be called after a change of the configuration: resets flows whose route was withdrawn. */
 void steer_routes_changed(struct steer *st, struct timespec now);
 
@@ -120,6 +122,8 @@
 void steer_log_target_changes(struct steer *st);
 
 uint32_t steer_flow_count(const struct steer *st);
+/* Openings that wait for a usable target. */
+uint32_t steer_waiting_count(const struct steer *st);
 const struct histogram *steer_accept_times(const struct steer *st);
 /* Age of the list of targets at each opening. */
 const struct histogram *steer_target_list_ages(const struct steer *st);
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -127,7 +127,10 @@
 	control_state_put_target(&fix->control_state, &info, fix->now);
 }
 
-/* config VERSION PORT=SERVICE:WEIGHT[:cold-bound][+SERVICE:WEIGHT] ... [goal=MS], for all routes */
+/*
+ * config VERSION PORT=SERVICE:WEIGHT[:cold-bound][+SERVICE:WEIGHT] ... [goal=MS] [timeout=MS], for
+ * all routes; the route of port 80 has the priority 1, the others 2
+ */
 static void do_config(struct fixture *fix, char **words)
 {
 	struct routing *rt = fix->control_state.routing;
@@ -139,16 +142,18 @@
 	for (char **word = words + 2; *word; word++) {
 		struct route_rule rule = {
 			.address = { SERVICE_IP, 0 },
-			.admission = { uint_value(words, "goal", 0), 2 },
+			.admission = { .goal_ms = uint_value(words, "goal", 0),
+				       .timeout_ms = uint_value(words, "timeout", 0) },
 		};
 		char **halves;
 
-		if (g_str_has_prefix(*word, "goal="))
+		if (g_str_has_prefix(*word, "goal=") || g_str_has_prefix(*word, "timeout="))
 			continue;
 		halves = g_strsplit(*word, "=", 2);
 		char **parts = g_strsplit(halves[1], "+", 0);
 
 		rule.address.port = (uint16_t)g_ascii_strtoull(halves[0], NULL, 10);
+		rule.admission.priority = rule.address.port == 80 ? 1 : 2;
 		for (char **part = parts; *part; part++) {
 			char **fields = g_strsplit(*part, ":", 3);
 			uint32_t weight = (uint32_t)g_ascii_strtoull(fields[1], NULL, 10);
@@ -275,6 +280,12 @@
 	control_state_withdraw(&fix->control_state, words[1], false, fix->now);
 }
 
+static void do_stop(struct fixture *fix, char **words)
+{
+	(void)words;
+	steer_stop(fix->control_state.steer, fix->now);
+}
+
 static void do_restart(struct fixture *fix, char **words)
 {
 	(void)words;
@@ -289,6 +300,7 @@
 	{ "pkt", do_packet },	     { "probe", do_probe },	{ "wait", do_wait },
 	{ "list", do_list },	     { "store", do_store },	{ "gone", do_gone },
 	{ "withdraw", do_withdraw }, { "restore", do_restore }, { "restart", do_restart },
+	{ "stop", do_stop },
 };
 
 /* Replaces variables as "$1" by their values. */
@@ -411,7 +423,80 @@
 	"wait 5\n"                                                                                 \
 	"pkt c1 443 mark=$1 => forward $1\n"
 
+/* The only target is found dead; c1's opening was sent to it. */
+#define DEAD_TARGET(options)                                                                       \
+	"target i-a web home\n"                                                                    \
+	"config 1 443=web:1 80=web:1 " options "\n"                                                \
+	"syn c1 443 => forward i-a\n"                                                              \
+	"wait 50 => probe i-a\n"                                                                   \
+	"probe i-a timeout\n"
+
 static const struct script scripts[] = {
+	/* Openings without a usable target wait as long as they may still be served in time. */
+	{ "wait/placed-when-the-target-answers",
+	  DEAD_TARGET("timeout=4000") "syn c2 443\n"
+				      "wait 1000 => probe i-a\n"
+				      "probe i-a ok\n"
+				      "wait 20 => forward i-a\n"
+				      "pkt c2 443 mark=i-a => forward i-a\n" },
+	{ "wait/placed-at-a-new-target", DEAD_TARGET("timeout=4000") "syn c2 443\n"
+								     "wait 300\n"
+								     "target i-b web home\n"
+								     "wait 20 => forward i-b\n" },
+	{ "wait/placed-when-a-data-centre-is-back",
+	  DEAD_TARGET("timeout=4000") "target i-b web far\nwithdraw far\n"
+				      "syn c2 443\n"
+				      "wait 300\n"
+				      "restore far\n"
+				      "wait 20 => forward i-b\n" },
+	{ "wait/copies-do-not-queue-twice",
+	  DEAD_TARGET("timeout=4000") "syn c2 443\n"
+				      "wait 200\nsyn c2 443\nwait 400\nsyn c2 443\n"
+				      "target i-b web home\n"
+				      "wait 20 => forward i-b\n" },
+	{ "wait/refused-after-half-of-the-time-out",
+	  DEAD_TARGET("timeout=600") "syn c2 443\n"
+				     "wait 299\n"
+				     "wait 20 => reset c2\n" },
+	{ "wait/refused-before-its-caller-gives-up",
+	  DEAD_TARGET("timeout=60000") "syn c2 443\n"
+				       "wait 1000 => probe i-a\n"
+				       "probe i-a timeout\n"
+				       "wait 299\n"
+				       "wait 20 => reset c2\n" },
+	{ "wait/long-outage-refuses-at-once",
+	  DEAD_TARGET("timeout=200") "syn c2 443\n"
+				     "wait 100 => reset c2\n"
+				     "wait 699\n"
+				     "syn c3 443\n"
+				     "wait 20 => reset c3\n"
+				     "syn c4 443 => reset c4\n" },
+	{ "wait/no-target-listed-refuses-at-once",
+	  DEAD_TARGET("timeout=4000") "target i-a web home draining\n"
+				      "syn c2 443 => reset c2\n" },
+	{ "wait/target-that-leaves-ends-the-wait",
+	  DEAD_TARGET("timeout=4000") "syn c2 443\n"
+				      "wait 100\n"
+				      "target i-a web home draining\n"
+				      "wait 20 => reset c2\n" },
+	{ "wait/without-a-time-out-refuses-at-once", DEAD_TARGET("") "syn c2 443 => reset c2\n" },
+	{ "wait/dropped-route-ends-the-wait", DEAD_TARGET("timeout=4000") "syn c2 443\n"
+									  "config 2 80=web:1\n"
+									  "wait 20 => reset c2\n" },
+	{ "wait/stopping-instance-refuses", DEAD_TARGET("timeout=4000") "syn c2 443\n"
+									"stop => reset c2\n" },
+	/* A target with two slots gets four openings, and the others as these are answered. */
+	{ "wait/returning-target-is-not-flooded",
+	  DEAD_TARGET(
+		  "timeout=4000") "syn c2 443\nsyn c3 443\nsyn c4 443\nsyn c5 443\n"
+				  "syn c6 443\nsyn c7 443\n"
+				  "target i-b web home\n"
+				  "wait 20 => forward i-b, forward i-b, forward i-b, forward i-b\n"
+				  "syn c8 443\n"
+				  "pkt c7 443 mark=i-b len=10 => forward i-b\n"
+				  "wait 20\n"
+				  "pkt c7 443 mark=i-b ack=900 fin => forward i-b\n"
+				  "wait 20 => forward i-b\n" },
 	/* An established flow reaches its own target on any instance. */
 	{ "flow/mark-names-the-target", OPEN_FLOW "pkt c1 443 mark=$1 len=100 => forward $1\n" },
 	{ "flow/restarted-instance",
