--- a/beliefs.c
+++ b/beliefs.c
@@ -143,6 +143,11 @@
 	cs->known[kind] = true;
 }
 
+void control_state_confirmed(struct control_state *cs, enum control_kind kind, struct timespec when)
+{
+	cs->last_answer[kind] = when;
+}
+
 void control_state_targets_begin(struct control_state *cs)
 {
 	registry_list_begin(cs->registry);
--- a/beliefs.h
+++ b/beliefs.h
@@ -86,6 +86,12 @@
 /* How much longer a lapsed target is kept, in milliseconds; -1 for one that is listed. */
 int64_t control_state_lapse_left_ms(const struct control_state *cs, const struct reg_target *tgt,
 				    struct timespec now);
+/*
+ * The store confirmed a kind at @when, as another instance reports. Unlike an answer of the store,
+ * this does not make the kind known.
+ */
+void control_state_confirmed(struct control_state *cs, enum control_kind kind,
+			     struct timespec when);
 /* A configuration has been read into cs->routing completely: puts it in force. */
 void control_state_commit_config(struct control_state *cs, struct timespec now);
 void control_state_withdraw(struct control_state *cs, const char *data_centre, bool withdrawn,
--- a/edge-settings.c
+++ b/edge-settings.c
@@ -31,6 +31,23 @@
 	return !strcmp(name, "rendezvous") ? PLACING_RENDEZVOUS : PLACING_LEAST_LOADED;
 }
 
+/* Reads "ADDRESS,ADDRESS,..."; returns false when one is not valid or there are too many. */
+static bool parse_seeds(struct edge_settings *set, const char *text)
+{
+	char **words = g_strsplit(text, ",", 0);
+	bool ok = true;
+
+	set->nr_seeds = 0;
+	for (char **word = words; ok && *word; word++) {
+		ok = set->nr_seeds < EDGE_SEEDS_MAX &&
+		     endpoint_parse(*word, &set->seeds[set->nr_seeds]);
+		if (ok)
+			set->nr_seeds++;
+	}
+	g_strfreev(words);
+	return ok;
+}
+
 /* The schema check has passed, so every key is present and valid. */
 static void fill(struct edge_settings *set, json_object *root)
 {
@@ -43,6 +60,8 @@
 	endpoint_parse(json_str(root, "store"), &set->store);
 	if (*json_str(root, "peers"))
 		endpoint_parse(json_str(root, "peers"), &set->peers);
+	if (*json_str(root, "snapshot"))
+		endpoint_parse(json_str(root, "snapshot"), &set->snapshot);
 	set->memory_mb = (uint32_t)json_num(root, "memory_mb");
 	set->stop_s = (uint32_t)json_num(root, "stop_s");
 	set->verify_ms = (uint32_t)json_num(root, "verify_ms");
@@ -67,6 +86,9 @@
 		if (endpoint_equal(set->ready, set->metrics))
 			faults_add(faults, text.file->str, json_text_line(&text, "metrics"),
 				   "metrics", "is the same address as ready");
+		if (!parse_seeds(set, json_str(text.root, "seeds")))
+			faults_add(faults, text.file->str, json_text_line(&text, "seeds"), "seeds",
+				   "is not a list of at most 8 addresses, separated by commas");
 	}
 	json_text_release(&text);
 	return faults->list->len > before ? -EINVAL : 0;
--- a/edge-settings.h
+++ b/edge-settings.h
@@ -8,6 +8,8 @@
 #include "packet.h"
 #include "placing.h"
 
+#define EDGE_SEEDS_MAX 8
+
 struct edge_settings {
 	GString *name;
 	GString *data_centre;
@@ -18,6 +20,9 @@
 	struct endpoint peers; /* port 0: no relay */
 	uint32_t memory_mb;
 	struct endpoint store;
+	struct endpoint snapshot; /* port 0: snapshots are not served */
+	struct endpoint seeds[EDGE_SEEDS_MAX];
+	size_t nr_seeds;
 	uint32_t stop_s;
 	uint32_t verify_ms;
 	uint32_t confirm_ms;
--- a/edge.c
+++ b/edge.c
@@ -9,6 +9,7 @@
 #include "connprobe.h"
 #include "decision.h"
 #include "edge-metrics.h"
+#include "edge-snapshot.h"
 #include "httpserve.h"
 #include "log.h"
 #include "rawsource.h"
@@ -81,9 +82,11 @@
 	struct upstream *upstream;
 	struct relay *relay; /* NULL if the instance reads the store without the relay */
 	struct edge_relay_out relay_out;
+	struct edge_snapshot *snapshot;
 	GPtrArray *held; /* struct held_packet */
 	struct http_pages ready_pages;
 	struct http_pages metrics_pages;
+	struct http_pages snapshot_pages;
 	struct histogram loop_delays;
 	struct timespec started;
 	struct timespec last_packet;
@@ -281,6 +284,21 @@
 	return now;
 }
 
+/* Enough is known to place openings; @source: where it came from. */
+static void become_ready(struct edge *edge, const char *source, struct timespec now)
+{
+	if (edge->was_ready)
+		return;
+	edge->was_ready = true;
+	decision_log(DECISION_PROCESS, now,
+		     "state=ready source=%s after_ms=%lld targets=%u config=%llu held=%u", source,
+		     (long long)ts_diff_ms(now, edge->started),
+		     registry_count(edge->control_state.registry),
+		     (unsigned long long)routing_version(edge->control_state.routing),
+		     edge->held->len);
+	handle_held_packets(edge, now);
+}
+
 void edge_control_state_changed(struct edge *edge)
 {
 	struct timespec now = begin_iteration(edge);
@@ -288,16 +306,8 @@
 	if (edge->relay)
 		relay_control_state_changed(edge->relay, now);
 	end_confirming(edge, now);
-	if (!edge->was_ready && control_state_ready(&edge->control_state)) {
-		edge->was_ready = true;
-		decision_log(DECISION_PROCESS, now,
-			     "state=ready after_ms=%lld targets=%u config=%llu held=%u",
-			     (long long)ts_diff_ms(now, edge->started),
-			     registry_count(edge->control_state.registry),
-			     (unsigned long long)routing_version(edge->control_state.routing),
-			     edge->held->len);
-		handle_held_packets(edge, now);
-	}
+	if (control_state_ready(&edge->control_state))
+		become_ready(edge, "store", now);
 	flush_outboxes(edge);
 	schedule(edge);
 }
@@ -446,6 +456,8 @@
 		control_state_timer(&edge->control_state, now);
 	if (edge->relay)
 		relay_timer(edge->relay, now);
+	if (edge_snapshot_timer(edge->snapshot, now))
+		become_ready(edge, "snapshot", now);
 	end_confirming(edge, now);
 	if (ts_diff_ms(now, edge->settings_checked) >= SETTINGS_CHECK_INTERVAL_MS) {
 		edge->settings_checked = now;
@@ -465,6 +477,7 @@
 	log_flush();
 	if (edge->relay)
 		ms = MIN(ms, relay_due_ms(edge->relay, now));
+	ms = MIN(ms, MAX(edge_snapshot_due_ms(edge->snapshot, now), 1));
 	ms = MIN(ms, LOOP_MAX_SLEEP_MS);
 	if (is_confirming(edge))
 		ms = MIN(ms, HELD_PACKET_MAX_AGE_MS / 4);
@@ -527,6 +540,32 @@
 	return HTTP_STATUS_OK;
 }
 
+static bool is_ready(void *arg)
+{
+	return ((struct edge *)arg)->was_ready;
+}
+
+static void seed_answered(void *arg)
+{
+	schedule(arg);
+}
+
+static int open_snapshot(struct edge *edge)
+{
+	struct edge_snapshot_options opts = {
+		.set = edge->opts.set,
+		.context = edge->context,
+		.control_state = &edge->control_state,
+		.clock = edge->opts.clock,
+		.random = edge->opts.random,
+		.ready = is_ready,
+		.answered = seed_answered,
+		.arg = edge,
+	};
+
+	return edge_snapshot_new(&opts, &edge->snapshot);
+}
+
 static int open_context(struct edge *edge)
 {
 	int ret = rawsource_context(&edge->context, &edge->vhost);
@@ -558,6 +597,11 @@
 	ret = http_serve(edge->context, set->ready, "ready", &edge->ready_pages);
 	if (!ret)
 		ret = http_serve(edge->context, set->metrics, "metrics", &edge->metrics_pages);
+	if (!ret)
+		ret = open_snapshot(edge);
+	edge->snapshot_pages = (struct http_pages){ edge_snapshot_page, edge->snapshot };
+	if (!ret && set->snapshot.port)
+		ret = http_serve(edge->context, set->snapshot, "snapshot", &edge->snapshot_pages);
 	return ret ? ret : catch_signals(edge);
 }
 
@@ -605,6 +649,7 @@
 		return;
 	lws_sul_cancel(&edge->timer);
 	connprobes_free(edge->probes);
+	edge_snapshot_free(edge->snapshot);
 	if (edge->context)
 		lws_context_destroy(edge->context);
 	decision_init(NULL);
--- a/explain.c
+++ b/explain.c
@@ -353,6 +353,8 @@
 	{ "process", "state", "started", "an instance that handled it had restarted" },
 	{ "process", "state", "resumed", "an instance that handled it had not run for a while" },
 	{ "store", "store", "lost", "an instance that handled it had lost the store" },
+	{ "store", "snapshot", "applied",
+	  "an instance that handled it had started without the store" },
 };
 
 static const char *find_cause(const struct log_line *line)
--- a/proto/edge-gen.c
+++ b/proto/edge-gen.c
@@ -10,6 +10,8 @@
 	{ "metrics", SCHEMA_ENDPOINT, true, 0u, UINT64_MAX, NULL, NULL, NULL },
 	{ "store", SCHEMA_ENDPOINT, true, 0u, UINT64_MAX, NULL, NULL, NULL },
 	{ "peers", SCHEMA_ENDPOINT, false, 0u, UINT64_MAX, NULL, NULL, NULL },
+	{ "snapshot", SCHEMA_ENDPOINT, false, 0u, UINT64_MAX, NULL, NULL, NULL },
+	{ "seeds", SCHEMA_STRING, false, 0u, 255u, NULL, "\"\"", NULL },
 	{ "memory_mb", SCHEMA_UINT, false, 0u, 1048576u, "MB", "0", NULL },
 	{ "stop_s", SCHEMA_UINT, false, 1u, 600u, "s", "6", NULL },
 	{ "verify_ms", SCHEMA_UINT, false, 0u, 1000u, "ms", "50", NULL },
--- a/routing.c
+++ b/routing.c
@@ -117,6 +117,17 @@
 	return g_hash_table_size(rt->routes);
 }
 
+void routing_each(const struct routing *rt, void (*fn)(const struct route_rule *rule, void *arg),
+		  void *arg)
+{
+	GHashTableIter iter;
+	gpointer rule;
+
+	g_hash_table_iter_init(&iter, rt->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &rule))
+		fn(rule, arg);
+}
+
 uint32_t routing_idle_timeout(const struct routing *rt)
 {
 	return rt->idle_timeout_ms;
--- a/routing.h
+++ b/routing.h
@@ -53,6 +53,10 @@
 /* How long a flow may be idle, in milliseconds. */
 uint32_t routing_idle_timeout(const struct routing *rt);
 
+/* Calls @fn for each route in force. */
+void routing_each(const struct routing *rt, void (*fn)(const struct route_rule *rule, void *arg),
+		  void *arg);
+
 /* The route of @address, or NULL when no flow may be opened to it. */
 const struct route_rule *routing_find(const struct routing *rt, struct endpoint address);
 /* Whether an earlier version had @address and the one in force does not. */
--- a/t/test-corpus.c
+++ b/t/test-corpus.c
@@ -11,6 +11,7 @@
 int fuzz_wire(const uint8_t *bytes, size_t len);
 int fuzz_peer(const uint8_t *bytes, size_t len);
 int fuzz_settings(const uint8_t *bytes, size_t len);
+int fuzz_snapshot(const uint8_t *bytes, size_t len);
 
 struct corpus {
 	const char *folder;
@@ -47,7 +48,7 @@
 {
 	static const struct corpus all[] = {
 		{ "echo", fuzz_echo }, { "entries", fuzz_entries },   { "wire", fuzz_wire },
-		{ "peer", fuzz_peer }, { "settings", fuzz_settings },
+		{ "peer", fuzz_peer }, { "settings", fuzz_settings }, { "snapshot", fuzz_snapshot },
 	};
 
 	g_test_init(&argc, &argv, NULL);
--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -93,6 +93,28 @@
 	outcome_release(&oc);
 }
 
+/* Whether the logs of the instances have a line with @text. */
+static bool logs_have(const char *dir, const char *text)
+{
+	char *command = g_strdup_printf("sh -c \"grep -qh '%s' %s/edge-*.log\"", text, dir);
+	int status = -1;
+
+	g_spawn_command_line_sync(command, NULL, NULL, &status, NULL);
+	g_free(command);
+	return g_spawn_check_wait_status(status, NULL);
+}
+
+/* Guards against instances that serve nobody when they start while the store does not answer. */
+static void test_start_without_store(void)
+{
+	struct outcome oc = run_world("--seconds 20 --net 30 --instances 6 --faults --seed 1 "
+				      "--only store-silent,kill");
+
+	g_assert_nonnull(g_strstr_len(oc.report, -1, " breaches=0 "));
+	g_assert_true(logs_have(oc.dir, "state=ready source=snapshot"));
+	outcome_release(&oc);
+}
+
 /* Fields of a line of failed-tries.txt. */
 enum { TRY_TIME, TRY_REQUEST, TRY_FLOW, TRY_RESULT, TRY_FIELDS };
 
@@ -190,6 +212,7 @@
 		g_test_add_data_func(path, &scenarios[i], test_scenario);
 		g_free(path);
 	}
+	g_test_add_func("/edge/start-without-store", test_start_without_store);
 	for (size_t i = 0; i < G_N_ELEMENTS(failures); i++) {
 		char *path = g_strconcat("/edge/explain/", failures[i].name, NULL);
 
--- a/t/world/world.c
+++ b/t/world/world.c
@@ -133,10 +133,24 @@
 	close(log);
 }
 
+/* The snapshot addresses of the first instances, separated by commas. */
+static char *seeds_text(const struct options *opts)
+{
+	GString *text = g_string_new(NULL);
+	char address[ADDRESS_TEXT];
+
+	for (unsigned int nr = 0; nr < MIN(opts->instances, (unsigned int)SEEDS); nr++)
+		g_string_append_printf(text, "%s%s", nr ? "," : "",
+				       world_address(PART_INSTANCE, nr % DATA_CENTRES, nr + 1,
+						     SNAPSHOT_PORT, address));
+	return g_string_free(text, FALSE);
+}
+
 static void add_instance(struct world *w, const struct options *opts, unsigned int nr)
 {
 	struct instance *inst = g_new0(struct instance, 1);
-	char addresses[5][ADDRESS_TEXT];
+	char addresses[6][ADDRESS_TEXT];
+	char *seeds = seeds_text(opts);
 	char peers[ADDRESS_TEXT + 16] = "";
 	char *text;
 
@@ -152,15 +166,18 @@
 	text = g_strdup_printf(
 		"// Written by the emulator.\n{\"name\":\"edge-%u\",\"data_centre\":\"dc%u\","
 		"\"packets\":\"%s\",\"ready\":\"%s\",\"metrics\":\"%s\",\"store\":\"%s\","
+		"\"snapshot\":\"%s\",\"seeds\":\"%s\","
 		"%s\"stop_s\":%d,\"watch_pause_ms\":%u,\"confirm_ms\":%u}\n",
 		nr, inst->dc,
 		world_address(PART_INSTANCE, inst->dc, nr + 1, UDP_PORT, addresses[0]),
 		world_address(PART_INSTANCE, inst->dc, nr + 1, READY_PORT, addresses[1]),
 		world_address(PART_INSTANCE, inst->dc, nr + 1, METRICS_PORT, addresses[2]),
-		world_address(PART_STORE, 0, nr, STORE_PORT, addresses[3]), peers, GRACE_S,
-		opts->watch_pause_ms, opts->confirm_ms);
+		world_address(PART_STORE, 0, nr, STORE_PORT, addresses[3]),
+		world_address(PART_INSTANCE, inst->dc, nr + 1, SNAPSHOT_PORT, addresses[5]), seeds,
+		peers, GRACE_S, opts->watch_pause_ms, opts->confirm_ms);
 	if (!g_file_set_contents(inst->settings, text, -1, NULL))
 		g_error("cannot write %s", inst->settings);
+	g_free(seeds);
 	g_free(text);
 	g_ptr_array_add(w->instances, inst);
 }
--- a/t/world/world.h
+++ b/t/world/world.h
@@ -25,6 +25,8 @@
 #define TARGET_PORT	  7403
 #define STORE_PORT	  7404
 #define PEER_PORT	  7405
+#define SNAPSHOT_PORT	  7406
+#define SEEDS		  3	      /* instances that the settings name as seeds */
 #define SERVICE_IP	  0xc6120001u /* 198.18.0.1 */
 #define CONTACT_MS	  4000	      /* a machine or link is calm this long after a disturbance */
 #define DRAIN_MS	  3000	      /* bounds of the promises */
