waiting: forget outages that no opening has seen for 10 s

A service with few callers could be found without a target, recover unseen, and have its next opening refused because the outage seemed to have lasted all the while.

--- a/steer-internal.h
+++ b/steer-internal.h
@@ -55,7 +55,7 @@
 	GHashTable *flows;
 	GQueue by_state[FLOW_STATES];
 	GQueue unverified;	/* struct steer_flow by verify_due */
-	struct waiting waiting; /* struct steer_flow in FLOW_OPENING that no target was tried for */
+	struct waiting waiting; /* struct steer_flow whose opening has not been sent */
 	struct timespec next_waiting_pass;
 	GPtrArray *untrusted; /* struct reg_target: the suspected and dead ones */
 	struct registry_listener listener;
@@ -111,7 +111,7 @@
 bool steer_wait_begin(struct steer *st, struct steer_flow *flow, const struct route_rule *rule,
 		      struct timespec now);
 /* An opening of the service has been placed at once. */
-void steer_wait_not_needed(struct steer *st, struct endpoint service, struct timespec now);
+void steer_wait_end_outage(struct steer *st, struct endpoint service, struct timespec now);
 int64_t steer_wait_due_ms(const struct steer *st, struct timespec now);
 /* Places waiting openings whose targets can be used again, and refuses those past their limit. */
 void steer_wait_timer(struct steer *st, struct timespec now);
--- a/steer-wait.c
+++ b/steer-wait.c
@@ -20,7 +20,7 @@
 	return waiting_for(&st->waiting, service);
 }
 
-void steer_wait_not_needed(struct steer *st, struct endpoint service, struct timespec now)
+void steer_wait_end_outage(struct steer *st, struct endpoint service, struct timespec now)
 {
 	waiting_end_outage(&st->waiting, service, now);
 }
--- a/steer.c
+++ b/steer.c
@@ -284,7 +284,7 @@
 		flow->opening_seq = pkt->seq;
 	}
 	if (tgt) {
-		steer_wait_not_needed(st, pkt->service, now);
+		steer_wait_end_outage(st, pkt->service, now);
 		if (flow) {
 			steer_send_opening(st, flow, tgt, "first", now);
 			return;
--- a/t/fuzz-snapshot.c
+++ b/t/fuzz-snapshot.c
@@ -6,38 +6,13 @@
 
 #include "random.h"
 #include "snapshot.h"
+#include "t/silent-out.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
 
-static void out_nothing_forward(struct steer_out *out, const struct reg_target *tgt, uint32_t mark,
-				const uint8_t *bytes, size_t size)
-{
-	(void)out;
-	(void)tgt;
-	(void)mark;
-	(void)bytes;
-	(void)size;
-}
-
-static void out_nothing_reset(struct steer_out *out, const struct flow_addr *addr, uint32_t seq)
-{
-	(void)out;
-	(void)addr;
-	(void)seq;
-}
-
-static void out_nothing_probe(struct steer_out *out, struct reg_target *tgt, unsigned int nr)
-{
-	(void)out;
-	(void)tgt;
-	(void)nr;
-}
-
 static void apply(const struct snapshot *snap)
 {
-	static const struct steer_out_ops ops = { out_nothing_forward, out_nothing_reset,
-						  out_nothing_probe };
-	struct steer_out out = { &ops };
+	struct steer_out out = { &null_out_ops };
 	struct seeded_random random;
 	struct control_state_options opts = {
 		.data_centre = "home",
--- a/t/test-waiting.c
+++ b/t/test-waiting.c
@@ -417,6 +417,28 @@
 	}
 }
 
+/* Guards against taking an outage of long ago, whose end no opening has seen, for the present one.
+ */
+static void test_forgotten_outage(void)
+{
+	struct endpoint service = { SERVICE_IP, 443 };
+	struct timespec now = { .tv_sec = 1000 };
+	struct waiting wt;
+
+	waiting_init(&wt);
+	for (int i = 0; i < 20; i++) {
+		const struct outage *outage = waiting_outage(&wt, service, now);
+
+		g_assert_cmpint(ts_diff_ms(now, outage->since), ==, i * 5000);
+		now = ts_add_ms(now, 5000);
+	}
+	now = ts_add_ms(now, 3600 * MSEC_PER_SEC);
+	g_assert_cmpint(ts_diff_ms(now, waiting_outage(&wt, service, now)->since), ==, 0);
+	waiting_end_outage(&wt, service, now);
+	g_assert_cmpuint(waiting_for(&wt, service), ==, 0);
+	waiting_release(&wt);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -429,6 +451,7 @@
 	}
 	g_test_add_func("/waiting/long-outage-refuses-at-once", test_long_outage);
 	g_test_add_func("/waiting/full-queue", test_full_queue);
+	g_test_add_func("/waiting/forgotten-outage", test_forgotten_outage);
 	g_test_add_func("/waiting/worthwhile", test_worthwhile);
 	return g_test_run();
 }
--- a/waiting.c
+++ b/waiting.c
@@ -16,7 +16,9 @@
 #define OUTAGE_TIMEOUTS_MAX 4
 /* The openings of 1,000 new flows a second for as long as an opening lives. */
 #define WAITING_MAX	  1400
-#define WAITING_MAX_BYTES (256u << 10)
+#define WAITING_MAX_BYTES (1u << 20)
+/* After this time without an opening, nothing is known of what happened in between. */
+#define OUTAGE_MEMORY_MS 10000
 
 void waiting_init(struct waiting *wt)
 {
@@ -53,11 +55,14 @@
 	uint64_t key = address_key(service);
 	struct outage *outage = find_outage(wt, service);
 
-	if (outage)
-		return outage;
-	outage = g_new0(struct outage, 1);
-	outage->since = now;
-	g_hash_table_insert(wt->outages, g_memdup2(&key, sizeof(key)), outage);
+	if (!outage) {
+		outage = g_new0(struct outage, 1);
+		outage->since = now;
+		g_hash_table_insert(wt->outages, g_memdup2(&key, sizeof(key)), outage);
+	} else if (ts_diff_ms(now, outage->observed) >= OUTAGE_MEMORY_MS) {
+		outage->since = now;
+	}
+	outage->observed = now;
 	return outage;
 }
 
--- a/waiting.h
+++ b/waiting.h
@@ -1,8 +1,9 @@
 /*
  * Openings that wait for a usable target. While a data centre is cut off, or all targets of a
  * service are down, a reset at once makes a caller use up its tries within milliseconds, although
- * many outages end before its deadline. So openings wait for a bounded time, and are placed in the
- * order of their priority, then of their arrival, when a target can be used again.
+ * many outages end before its deadline. So openings wait for a bounded time, and are placed when a
+ * target can be used again: those of the highest priority first, among them the newest, because the
+ * callers of the oldest are about to give up.
  *
  * Nobody knows how long an outage lasts. One that has lasted for a time t ends within the next
  * time d with a probability of about d / (t + d), so openings are refused at once when the outage
@@ -37,6 +38,7 @@
 /* A service without a usable target. */
 struct outage {
 	struct timespec since;
+	struct timespec observed; /* latest opening that found no target */
 	uint32_t nr_waiting;
 };
 
@@ -55,7 +57,10 @@
 /* Milliseconds after its arrival until which an opening waits at most. */
 int64_t waiting_limit_ms(const struct admission_class *cls);
 
-/* The outage of @service, which begins now unless it is known. */
+/*
+ * The outage of @service, of which an opening shows that it lasts. It begins now unless it is known
+ * from an opening of the last seconds.
+ */
 struct outage *waiting_outage(struct waiting *wt, struct endpoint service, struct timespec now);
 /* To be called when an opening of @service was placed. Openings that wait for it stay queued. */
 void waiting_end_outage(struct waiting *wt, struct endpoint service, struct timespec now);
