--- a/bootstrap.c
+++ b/bootstrap.c
@@ -91,8 +91,7 @@
 	if (!is_needed(boot))
 		return;
 	if (!body) {
-		decision_log(DECISION_STORE, now, "snapshot=none seed=%zu reason=\"%s\"", seed,
-			     why);
+		decision_log(DECISION_STORE, now, "snapshot=none seed=%s reason=\"%s\"", name, why);
 		return;
 	}
 	faults_init(&faults);
--- a/edge.c
+++ b/edge.c
@@ -377,7 +377,7 @@
 {
 	return !endpoint_equal(a->packets, b->packets) || !endpoint_equal(a->ready, b->ready) ||
 	       !endpoint_equal(a->metrics, b->metrics) || !endpoint_equal(a->store, b->store) ||
-	       !endpoint_equal(a->peers, b->peers) ||
+	       !endpoint_equal(a->peers, b->peers) || !endpoint_equal(a->snapshot, b->snapshot) ||
 	       !g_string_equal(a->data_centre, b->data_centre);
 }
 
--- a/t/test-adapter.c
+++ b/t/test-adapter.c
@@ -155,16 +155,20 @@
 	  "{\"meta\":{\"name\":\"main\"},\"spec\":{\"version\":7,\"routes\":[" ROUTE(
 		  "\"service\":\"a\"") "]" SERVICES("") "}}",
 	  NULL, true, 1, false },
-	{ "goal-and-priority",
-	  CONFIG("7", ROUTE("\"service\":\"a\",\"slo_ms\":150,\"priority\":1")),
+	{ "goal-time-out-and-priority",
+	  CONFIG("7", ROUTE("\"service\":\"a\",\"slo_ms\":150,\"timeout_ms\":2000,"
+			    "\"priority\":1")),
 	  NULL,
 	  true,
 	  1,
 	  false,
-	  { 150, 1 } },
+	  { 150, 1, 2000 } },
 	/* A malformed goal must not cause callers to be refused. */
 	{ "goal-of-text", CONFIG("7", ROUTE("\"service\":\"a\",\"slo_ms\":\"150\"")), NULL, true,
 	  1 },
+	/* An opening must not wait by a malformed time-out. */
+	{ "time-out-of-text", CONFIG("7", ROUTE("\"service\":\"a\",\"timeout_ms\":\"2000\"")), NULL,
+	  true, 1 },
 	{ "split",
 	  CONFIG("7", ROUTE("\"traffic_split\":[{\"service\":\"a\",\"weight\":9},"
 			    "{\"service\":\"b\",\"weight\":1}]")),
@@ -204,6 +208,7 @@
 		g_assert_true(rule->services[0].cold_rate_limited == c->cold_rate_limited);
 		g_assert_cmpuint(rule->admission.goal_ms, ==, c->admission.goal_ms);
 		g_assert_cmpuint(rule->admission.priority, ==, c->admission.priority);
+		g_assert_cmpuint(rule->admission.timeout_ms, ==, c->admission.timeout_ms);
 	}
 	routing_free(rt);
 	symbols_release(&syms);
@@ -218,8 +223,13 @@
 	const char *name;
 	const char *text;
 	guint faults;
+	size_t nr_seeds;
 };
 
+#define SEEDS_CASE(seeds)                                                                          \
+	"{\"name\":\"a\",\"data_centre\":\"d\",\"seeds\":\"" seeds "\"," ADDRESSES "}"
+#define TWO_SEEDS "127.0.0.1:5,127.0.0.2:5"
+
 static const struct settings_case settings[] = {
 	{ "valid", "// comment\n{\"name\":\"a\",\"data_centre\":\"d\"," ADDRESSES "}", 0 },
 	{ "two-missing-and-one-out-of-range", "{\"stop_s\":0," ADDRESSES "}", 3 },
@@ -229,6 +239,13 @@
 	  1 },
 	{ "unknown-key", "{\"name\":\"a\",\"data_centre\":\"d\",\"x\":1," ADDRESSES "}", 1 },
 	{ "not-filled-in", "{\"name\":,}", 1 },
+	{ "seeds", SEEDS_CASE(TWO_SEEDS), 0, 2 },
+	{ "no-seeds", SEEDS_CASE(""), 0, 0 },
+	{ "seed-without-port", SEEDS_CASE("127.0.0.1:5,127.0.0.2"), 1 },
+	{ "empty-seed", SEEDS_CASE("127.0.0.1:5,"), 1 },
+	{ "eight-seeds", SEEDS_CASE(TWO_SEEDS "," TWO_SEEDS "," TWO_SEEDS "," TWO_SEEDS), 0, 8 },
+	{ "nine-seeds",
+	  SEEDS_CASE(TWO_SEEDS "," TWO_SEEDS "," TWO_SEEDS "," TWO_SEEDS ",127.0.0.1:6"), 1 },
 };
 
 static void test_settings(gconstpointer data)
@@ -247,6 +264,7 @@
 	if (!c->faults) {
 		g_assert_cmpstr(set.ready_path->str, ==, "/readyz");
 		g_assert_cmpuint(set.store.port, ==, 4);
+		g_assert_cmpuint(set.nr_seeds, ==, c->nr_seeds);
 	}
 	faults_release(&faults);
 	edge_settings_release(&set);
