--- a/edge.c
+++ b/edge.c
@@ -187,21 +187,14 @@
 static struct timespec begin_iteration(struct edge *edge);
 static bool is_confirming(const struct edge *edge);
 
-/* Whether a long answer of the store has delayed what arrived during a probe that ends now. */
-static bool link_was_occupied(const struct edge *edge, struct timespec now)
-{
-	return edge->upstream &&
-	       edge->upstream->ops->was_slow(edge->upstream, ts_add_ms(now, -PROBE_TIMEOUT_MS));
-}
-
 static void probe_done(void *arg, const char *id, enum probe_result result)
 {
 	struct edge *edge = arg;
 	struct reg_target *tgt = registry_by_id(edge->control_state.registry, id);
 	struct timespec now = begin_iteration(edge);
 
-	/* A probe may have timed out because of a suspension, or a link that was occupied. */
-	if (is_confirming(edge) || (result == PROBE_TIMEOUT && link_was_occupied(edge, now)))
+	/* A probe pending during a suspension may have timed out because of it. */
+	if (is_confirming(edge))
 		result = PROBE_INCONCLUSIVE;
 	if (tgt)
 		steer_probe_done(edge->control_state.steer, tgt, result, now);
--- a/upstream.h
+++ b/upstream.h
@@ -30,8 +30,6 @@
 	void (*lookup_reader)(struct upstream *up, bool fresh);
 	/* Registers @entry if the stored entry is still at revision entry->revision. */
 	void (*claim)(struct upstream *up, const struct reader_entry *entry);
-	/* Whether a slow answer of the store was being received at @since or later. */
-	bool (*was_slow)(const struct upstream *up, struct timespec since);
 };
 
 struct upstream {
