--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -90,9 +90,14 @@
         self.log = []  # (time, rev, kind, object or None, name)
         self.stale_s = 0.0
         self.changed = asyncio.Event()
+        self.silent = set()  # addresses of the store that are cut off
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+        await self.listen(self.ip)
+
+    async def listen(self, ip):
+        """One more address of the store, so that the machines that use it can be cut off."""
+        await asyncio.start_server(self.serve, ip, self.port)
 
     def put(self, kind, name, spec, note=True):
         """A write of the operator or of a server. Returns when it is acknowledged: now."""
@@ -195,6 +200,7 @@
         return 405, {}
 
     async def serve(self, reader, writer):
+        address = writer.get_extra_info("sockname")[0]
         try:
             while True:
                 line = (await reader.readline()).decode("latin-1").split()
@@ -208,7 +214,12 @@
                     if head.lower().startswith("content-length:"):
                         length = int(head.split(":")[1])
                 body = await reader.readexactly(length) if length else b""
-                status, answer = await self.call(line[0], line[1], body)
+                cut = address in self.silent
+                if not cut:
+                    status, answer = await self.call(line[0], line[1], body)
+                if cut or address in self.silent:
+                    await reader.read()  # nothing returns on this connection
+                    break
                 text = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
                              b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
@@ -384,6 +395,7 @@
             self.next_port += 1
         seq = random.getrandbits(31)
         began = time.monotonic()
+        self.refused_by = None
         self.flow = {"port": self.next_port, "isn": seq, "seq": seq, "ack": 0, "echo": 0,
                      "state": "opening", "got": b"", "opened": began}
         inst = self.send(SYN)
@@ -490,6 +502,8 @@
             self.nr, flow_text(self.key()), by, self.world.name_of(sender)))
         if flow["state"] == "open":
             self.world.flow_reset(self, self.key(), sender)
+        elif pkt.sum == 0:
+            self.refused_by = self.world.name_of(sender)
         flow["state"] = "reset"
         self.wake("reset")
 
