--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -91,13 +91,14 @@
         self.stale_s = 0.0
         self.changed = asyncio.Event()
         self.silent = set()  # addresses of the store that are cut off
+        self.listeners = []
 
     async def start(self):
         await self.listen(self.ip)
 
     async def listen(self, ip):
         """One more address of the store, so that the machines that use it can be cut off."""
-        await asyncio.start_server(self.serve, ip, self.port)
+        self.listeners.append(await asyncio.start_server(self.serve, ip, self.port))
 
     def put(self, kind, name, spec, note=True):
         """A write of the operator or of a server. Returns when it is acknowledged: now."""
