--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -599,7 +599,7 @@
                 for i in range(5):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         with socket.socket(socket.AF_INET, kind) as sock:
-                            sock.bind(("0.0.0.0", port + i))
+                            sock.bind((self.ip(1, 1), port + i))
                 return port
             except OSError:
                 continue
