relay, peer: count and log messages that cannot be sent

relay_send() now returns why a message was not sent, also when its datagram would be longer than instances receive, writes a line (at most 20 a second, as all) and counts it in relay_unsent_total. peer_send() and peer_send_reply() count likewise for "run".

"/peer/sizes" checks the counter.

--- a/counters.h
+++ b/counters.h
@@ -29,6 +29,7 @@
 	X(peer_out, "peer messages sent")                                                          \
 	X(peer_bytes_in, "control bytes received from peers")                                      \
 	X(peer_bytes_out, "control bytes sent to peers")                                           \
+	X(peer_unsent, "peer messages not sent: too long, or receiver's address unknown")          \
 	X(peer_bad, "peer messages dropped: malformed, truncated or oversized")                    \
 	X(peer_unauthentic, "peer messages dropped: seal does not verify")                         \
 	X(peer_replayed, "peer messages dropped: replayed")                                        \
--- a/edge-metrics.c
+++ b/edge-metrics.c
@@ -49,6 +49,9 @@
 		    cnt->peer_bytes_in);
 	metrics_add(out, "relay_bytes_out_total", "counter", "bytes of messages sent",
 		    cnt->peer_bytes_out);
+	metrics_add(out, "relay_unsent_total", "counter",
+		    "messages not sent because they are too long or cannot be encoded",
+		    cnt->peer_unsent);
 	metrics_add(out, "relay_malformed_total", "counter", "messages that cannot be decoded",
 		    cnt->peer_bad);
 	metrics_add(out, "relay_unauthentic_total", "counter", "messages that fail authentication",
--- a/peer.c
+++ b/peer.c
@@ -200,10 +200,12 @@
 	struct endpoint ep;
 	int ret = encode_call(0, bytes, len, peer->rpc);
 
-	if (ret)
+	if (!ret && !find_endpoint(peer, dst, &ep))
+		ret = -EHOSTUNREACH;
+	if (ret) {
+		peer->opts.counters->peer_unsent++;
 		return ret;
-	if (!find_endpoint(peer, dst, &ep))
-		return -EHOSTUNREACH;
+	}
 	transmit(peer, ep, dst, message_type(bytes), peer->rpc->data, peer->rpc->len);
 	return 0;
 }
@@ -239,11 +241,15 @@
 	rpc.acpted_rply.ar_stat = SUCCESS;
 	rpc.acpted_rply.ar_results.proc = xdr_no_results;
 	ret = encode_rpc(&rpc, bytes, len, peer->rpc);
-	if (ret)
+	if (!ret) {
+		store_reply(peer, dst, xid, message_type(bytes));
+		if (!find_endpoint(peer, dst, &ep))
+			ret = -EHOSTUNREACH;
+	}
+	if (ret) {
+		peer->opts.counters->peer_unsent++;
 		return ret;
-	store_reply(peer, dst, xid, message_type(bytes));
-	if (!find_endpoint(peer, dst, &ep))
-		return -EHOSTUNREACH;
+	}
 	transmit(peer, ep, dst, message_type(bytes), peer->rpc->data, peer->rpc->len);
 	return 0;
 }
--- a/relay-internal.h
+++ b/relay-internal.h
@@ -78,7 +78,11 @@
 void relay_channel_open(struct relay *relay, struct relay_channel *chan,
 			const struct peer_handler_ops *ops, const uint8_t key[PEER_KEY_BYTES]);
 void relay_channel_close(struct relay_channel *chan);
-void relay_send(struct relay_channel *chan, uint32_t dst, const peer_msg *msg);
+/*
+ * Sends @msg, or logs and counts why it cannot be sent. Returns 0, -EMSGSIZE if it cannot be
+ * encoded or its datagram would be longer than instances receive, or an error of peer_send().
+ */
+int relay_send(struct relay_channel *chan, uint32_t dst, const peer_msg *msg);
 /* Does nothing: the relay makes no peer calls, so there are no results. */
 void relay_no_result(struct peer_handler *handler, uint32_t src, uint64_t call_id,
 		     enum call_status status, const peer_msg *msg);
--- a/relay.c
+++ b/relay.c
@@ -1,5 +1,6 @@
 #include "relay-internal.h"
 
+#include <errno.h>
 #include <stddef.h>
 #include <string.h>
 
@@ -142,13 +143,23 @@
 	chan->peer = NULL;
 }
 
-void relay_send(struct relay_channel *chan, uint32_t dst, const peer_msg *msg)
+int relay_send(struct relay_channel *chan, uint32_t dst, const peer_msg *msg)
 {
+	struct relay *relay = chan->relay;
 	GByteArray *bytes = g_byte_array_new();
+	int ret = peer_msg_encode(msg, bytes);
 
-	if (!peer_msg_encode(msg, bytes))
-		peer_send(chan->peer, dst, bytes->data, bytes->len);
+	if (!ret && bytes->len > VIEW_MAX_MESSAGE_BYTES)
+		ret = -EMSGSIZE;
+	if (ret)
+		relay->counters.peer_unsent++;
+	else
+		ret = peer_send(chan->peer, dst, bytes->data, bytes->len);
+	if (ret)
+		decision_log(DECISION_STORE, relay->now, "relay=%s unsent_type=%d error=\"%s\"",
+			     relay_role_name(relay->role), (int)msg->type, g_strerror(-ret));
 	g_byte_array_unref(bytes);
+	return ret;
 }
 
 static void schedule_lookup(struct relay *relay, uint32_t min_ms, uint32_t spread_ms)
--- a/t/test-peer.c
+++ b/t/test-peer.c
@@ -432,6 +432,7 @@
 	g_assert_cmpint(peer_send(a.peer, 2, bytes, 3), ==, -EBADMSG);
 	g_assert_cmpint(peer_send(a.peer, 9, bytes, 4), ==, -EHOSTUNREACH);
 	g_assert_cmpuint(a.out->len, ==, 1);
+	g_assert_cmpuint(a.counters.peer_unsent, ==, 4);
 	peer_receive(a.peer, node_ep(2), bytes, PEER_MAX_DATAGRAM_BYTES + 1);
 	g_assert_cmpuint(a.counters.peer_bad, ==, 1);
 	node_release(&a);
--- a/view.h
+++ b/view.h
@@ -7,7 +7,11 @@
 #define VIEW_H
 
 #include "beliefs.h"
-#include "proto/peer.h"
+#include "peer.h"
+#include "wire.h"
+
+/* Longest encoded message whose datagram instances receive. */
+#define VIEW_MAX_MESSAGE_BYTES (WIRE_MAX_BYTES - SEAL_OVERHEAD_BYTES - PEER_RPC_HEADER_BYTES)
 
 /* The changes to write. */
 struct view_range {
