view, entries: fit pages by their encoded size, names included

Cause: a page names the services and data centres of its targets. Names had at most 128 bytes, so the entry of another writer with a service of 160 characters made a page that cannot be encoded, and the size of a page was computed without its names, so eight names of 100 characters made a datagram longer than instances receive. Either page is asked for again for ever.

Change: fill_page() adds targets while the encoded page fits, new names included. A name of any entry thus fits every message that carries it.

Why this and not a larger datagram: the names of entries have no limit at all, so some limit is needed, and it has to be the same in every instance, or a target would exist in the reader alone.

--- a/beliefs.h
+++ b/beliefs.h
@@ -14,6 +14,12 @@
 #include "steer.h"
 #include "symbol.h"
 
+/*
+ * Longest identifier, service or data centre of a target, in bytes. Pages of the relay and
+ * snapshots carry no longer ones, so entries with longer ones are not used.
+ */
+#define CONTROL_NAME_MAX_BYTES 255
+
 enum control_kind {
 	CONTROL_TARGETS,
 	CONTROL_CONFIG,
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -27,6 +27,7 @@
 #define PEER_MAX_VERSIONS 64
 #define PEER_MAX_VIEW_TARGETS 64
 #define PEER_MAX_VIEW_NAMES 64
+#define PEER_MAX_VIEW_NAME 255
 
 struct peer_service {
 	u_int ip;
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -21,6 +21,7 @@
 const PEER_MAX_VERSIONS = 64;
 const PEER_MAX_VIEW_TARGETS = 64;
 const PEER_MAX_VIEW_NAMES = 64;
+const PEER_MAX_VIEW_NAME = 255; /* bytes */
 
 struct peer_service {
 	unsigned int ip;
@@ -271,7 +272,7 @@
 	opaque document<PEER_MAX_PACKET>;
 };
 
-typedef string peer_name<PEER_MAX_NAME>;
+typedef string peer_name<PEER_MAX_VIEW_NAME>;
 
 /* Flags of a target in a view. */
 const PEER_VIEW_DRAINING = 1;
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -691,7 +691,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, PEER_MAX_NAME))
+	 if (!xdr_string (xdrs, objp, PEER_MAX_VIEW_NAME))
 		 return FALSE;
 	return TRUE;
 }
--- a/t/test-adapter.c
+++ b/t/test-adapter.c
@@ -58,6 +58,12 @@
 	"\"slots\":" slots ",\"state\":" state ",\"cold_left_ms\":" cold ",\"seq\":" seq
 #define GOOD SPEC("\"web\"", "\"10.128.0.9:8080\"", "2", "\"ready\"", "0", "4")
 
+#define X49	       "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+#define X51	       X49 "xx"
+#define X253	       X51 X51 X51 X51 X49
+#define X255	       X253 "xx"
+#define WITH(key, val) GOOD ",\"" key "\":\"" val "\"" /* the last one of two equal keys counts */
+
 struct entry_case {
 	const char *name;
 	const char *json;
@@ -99,6 +105,12 @@
 	{ "seq-of-text",
 	  TARGET("i-1", SPEC("\"web\"", "\"10.0.0.1:1\"", "2", "\"ready\"", "0", "\"4\"")),
 	  "seq is not a non-negative integer" },
+	{ "service-of-255-bytes", TARGET("i-1", WITH("service", X255)), NULL },
+	{ "service-too-long", TARGET("i-1", WITH("service", X255 "x")),
+	  "service is longer than 255 bytes" },
+	{ "zone-too-long", TARGET("i-1", WITH("zone", X255 "x")), "zone is longer than 255 bytes" },
+	{ "name-of-255-bytes", TARGET(X253 "-1", GOOD), NULL },
+	{ "name-too-long", TARGET(X253 "x-1", GOOD), "name is longer than 255 bytes" },
 	{ "born-of-fraction", TARGET("i-1", GOOD ",\"born\":1.5"),
 	  "born is not a non-negative integer" },
 };
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -25,6 +25,8 @@
 struct change {
 	int64_t revision;
 	char id[16];
+	unsigned int
+		name_bytes; /* length of the target's service and data centre, 0 for usual ones */
 	bool draining;
 	bool removed;
 };
@@ -194,6 +196,20 @@
 	node->up = false;
 }
 
+/* A symbol for a name of @len bytes that differs for each @id and @label. */
+static uint32_t long_name(struct symbols *syms, const char *id, const char *label, unsigned int len)
+{
+	GString *name = g_string_new(NULL);
+	uint32_t sym;
+
+	while (name->len < len)
+		g_string_append_printf(name, "%s-%s-", label, id);
+	g_string_truncate(name, len);
+	sym = symbols_intern(syms, name->str);
+	g_string_free(name, TRUE);
+	return sym;
+}
+
 static void report_target(struct node *node, const struct change *chg, struct timespec now)
 {
 	struct symbols *syms = &node->control_state.symbols;
@@ -209,6 +225,10 @@
 		.revision = chg->revision,
 	};
 
+	if (chg->name_bytes) {
+		info.service = long_name(syms, chg->id, "service", chg->name_bytes);
+		info.data_centre = long_name(syms, chg->id, "zone", chg->name_bytes);
+	}
 	if (chg->removed)
 		control_state_remove_target(&node->control_state, chg->id, now);
 	else
@@ -381,12 +401,29 @@
 
 static void change_target(struct sim *sim, const char *id, bool draining, bool removed)
 {
-	struct change chg = { ++sim->revision, "", draining, removed };
+	struct change chg = {
+		.revision = ++sim->revision,
+		.draining = draining,
+		.removed = removed,
+	};
 
 	g_strlcpy(chg.id, id, sizeof(chg.id));
 	g_array_append_val(sim->changes, chg);
 }
 
+/* Adds targets "f0", "f1" and so on, whose service and data centre have names of @bytes. */
+static void put_long_names(struct sim *sim, unsigned int nr, unsigned int bytes)
+{
+	for (unsigned int i = 0; i < nr; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "f%u", i);
+		change_target(sim, id, false, false);
+		g_array_index(sim->changes, struct change, sim->changes->len - 1).name_bytes =
+			bytes;
+	}
+}
+
 static enum relay_role role_named(const char *name)
 {
 	for (int i = 0; i < ROLES; i++) {
@@ -523,6 +560,9 @@
 			g_snprintf(id, sizeof(id), "m%03u", i);
 			change_target(sim, id, false, false);
 		}
+	} else if (!strcmp(cmd, "put-long-names")) {
+		put_long_names(sim, (unsigned int)g_ascii_strtoull(words[1], NULL, 10),
+			       (unsigned int)g_ascii_strtoull(words[2], NULL, 10));
 	} else if (!strcmp(cmd, "drain")) {
 		change_target(sim, words[1], true, false);
 	} else if (!strcmp(cmd, "remove")) {
@@ -656,6 +696,18 @@
 	/* A removal deleted from the registry cannot be sent as a change, so the list is sent. */
 	{ "follower-away-for-long", FLEET "freeze other; remove a; run 70000; put c; wake-all; "
 					  "run 4000; each target a left; each target c ready" },
+	/* From review/2: the reader's page could not be encoded, and followers learned nothing
+	   more. */
+	{ "target-of-a-long-service-name",
+	  FLEET "put-long-names 1 160; run 1000; drain a; run 2000; each target a draining; "
+		"each target f0 ready; roles following 7" },
+	/* Each name alone is short enough; together they exceeded the largest datagram. */
+	{ "page-of-many-names",
+	  FLEET "put-long-names 12 100; run 1000; drain a; run 2000; each target a draining; "
+		"each target f11 ready; roles following 7" },
+	{ "targets-of-the-longest-names",
+	  FLEET "put-long-names 12 255; run 1000; drain a; boot 8 11; run 2000; "
+		"each target a draining; each target f11 ready; roles following 11" },
 	{ "claim-without-an-answer", "lose-claims yes; put a; config 3; boot 0 7; run 6000; "
 				     "each target a ready; roles reading 1; drain a; run 1500; "
 				     "each target a draining" },
--- a/view.c
+++ b/view.c
@@ -4,13 +4,14 @@
 
 #include "timeutil.h"
 
-/* With its other fields and the names, a page fits a datagram of 1,280 bytes. */
+/* With names of up to 16 bytes such a page fits a datagram of 1,280 bytes. */
 #define PAGE_TARGETS 14
-#define PAGE_BYTES   900
 /* Size of an encoded target without its identifier. */
-#define TARGET_BYTES 60
-#define HALF_BITS    16
-#define HALF_MASK    0xffffu
+#define TARGET_FIXED_BYTES 48
+#define HALF_BITS	   16
+#define HALF_MASK	   0xffffu
+
+G_STATIC_ASSERT(CONTROL_NAME_MAX_BYTES == PEER_MAX_VIEW_NAME);
 
 /* Names of the services and data centres of a page; targets refer to them by index. */
 struct name_table {
@@ -82,20 +83,52 @@
 	return age;
 }
 
-/* Returns the end of the page that begins at target @at. */
-static guint page_end(const GPtrArray *changed, guint at)
+/* Size of an encoded string. */
+static size_t string_bytes(const char *str)
+{
+	return BYTES_PER_XDR_UNIT + RNDUP(strlen(str));
+}
+
+/* Bytes that the name of @sym adds to a page: 0 if the page has it already. */
+static size_t name_bytes(const struct name_table *table, const struct symbols *syms, uint32_t sym)
+{
+	for (u_int i = 0; i < table->nr; i++) {
+		if (table->symbols[i] == sym)
+			return 0;
+	}
+	return string_bytes(symbols_name(syms, sym));
+}
+
+static size_t target_bytes(const struct control_state *cs, const struct name_table *table,
+			   const struct reg_target *tgt)
+{
+	return TARGET_FIXED_BYTES + string_bytes(tgt->id->str) +
+	       name_bytes(table, &cs->symbols, tgt->service) +
+	       name_bytes(table, &cs->symbols, tgt->data_centre);
+}
+
+/*
+ * Adds targets from @at on to the page of @msg, which has none, until the next one does not fit.
+ * Returns the index of that one. At least one is added.
+ */
+static guint fill_page(const struct control_state *cs, const GPtrArray *changed, guint at,
+		       struct timespec now, struct name_table *table, peer_msg *msg)
 {
-	guint end = at;
-	size_t size = 0;
+	peer_view_page *page = &msg->peer_msg_u.view;
+	size_t size = xdr_sizeof((xdrproc_t)xdr_peer_msg, msg);
+	guint end;
 
-	while (end < changed->len && end - at < PAGE_TARGETS) {
+	for (end = at; end < changed->len && end - at < PAGE_TARGETS; end++) {
 		const struct reg_target *tgt = g_ptr_array_index(changed, end);
 
-		size += TARGET_BYTES + tgt->id->len;
-		if (end > at && size > PAGE_BYTES)
+		size += target_bytes(cs, table, tgt);
+		if (end > at && size > VIEW_MAX_MESSAGE_BYTES)
 			break;
-		end++;
+		write_target(cs, tgt, table, now, &page->targets.targets_val[end - at]);
 	}
+	page->targets.targets_len = end - at;
+	page->names.names_len = table->nr;
+	page->names.names_val = table->names;
 	return end;
 }
 
@@ -137,17 +170,14 @@
 		.targets.targets_val = targets,
 	};
 	do {
-		guint end = page_end(changed, at);
 		struct name_table table = { .nr = 0 };
+		guint end;
 
 		page->after = after;
+		page->targets.targets_len = 0;
+		page->names.names_len = 0;
+		end = fill_page(cs, changed, at, now, &table, &msg);
 		page->next = page_next(end, changed->len, nr, range->max_pages);
-		page->targets.targets_len = end - at;
-		for (guint i = at; i < end; i++)
-			write_target(cs, g_ptr_array_index(changed, i), &table, now,
-				     &targets[i - at]);
-		page->names.names_len = table.nr;
-		page->names.names_val = table.names;
 		send(arg, &msg);
 		if (end > at)
 			after = ((struct reg_target *)g_ptr_array_index(changed, end - 1))->id->str;
