relay: leave a reader whose pages cannot be applied

Cause: send_changes() advanced sent_revision although the page had been dropped, so that the next heartbeats began after it. The follower got VIEW_GAP for each of them and asked again, and handle_page() set last_page also for VIEW_GAP, so that the reader never seemed silent.

Change: sent_revision advances only if all pages were sent. VIEW_GAP does not set last_page: a follower without a page that continues its data for 1.25 s reads the store, a joining one after 0.6 s, as with a reader that sends nothing.

Why this works: whatever keeps a page from its follower, the follower's own revision is what counts, and it reads on from there. A lost page is repeated within 20 to 150 ms, far below the time-out.

Requests that cannot be sent are counted; the follower then hears nothing and leaves.

--- a/relay-internal.h
+++ b/relay-internal.h
@@ -50,7 +50,7 @@
 	struct view_progress progress;
 	struct timespec started;
 	struct timespec join_started; /* time of the first request to the reader */
-	struct timespec last_page;    /* time of the latest page */
+	struct timespec last_page;    /* time of the latest page that continues the known data */
 	struct timespec last_request; /* time of the latest request */
 	struct timespec next_request;
 	struct timespec next_lookup; /* 0 while no lookup is due */
--- a/relay-reader.c
+++ b/relay-reader.c
@@ -32,25 +32,26 @@
 struct page_sink {
 	struct relay *relay;
 	uint32_t dst;
+	bool failed; /* a page could not be sent */
 };
 
 static void send_page(void *arg, const peer_msg *msg)
 {
-	const struct page_sink *sink = arg;
+	struct page_sink *sink = arg;
 
-	relay_send(&sink->relay->to_followers, sink->dst, msg);
+	sink->failed |= relay_send(&sink->relay->to_followers, sink->dst, msg) != 0;
 }
 
 static void send_changes(struct relay *relay, struct follower *fol, struct view_range *range)
 {
-	struct page_sink sink = { relay, fol->id };
+	struct page_sink sink = { relay, fol->id, false };
 
 	range->session = fol->session;
 	range->reader = reader_flags(relay);
 	range->max_pages = range->base ? CHANGES_BURST_PAGES : LIST_BURST_PAGES;
 	fol->pages_pending =
 		!view_write(relay->opts.control_state, range, relay->now, send_page, &sink);
-	if (!fol->pages_pending)
+	if (!fol->pages_pending && !sink.failed)
 		fol->sent_revision = relay->opts.control_state->complete[CONTROL_TARGETS];
 }
 
--- a/relay.c
+++ b/relay.c
@@ -431,7 +431,9 @@
 		relay->counters.peer_bad++;
 		return;
 	}
-	relay->last_page = relay->now;
+	/* A reader whose pages cannot be applied is left like one that sends none. */
+	if (res != VIEW_GAP)
+		relay->last_page = relay->now;
 	if (res == VIEW_BEHIND)
 		return;
 	request_missing_pages(relay, page, res);
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -708,6 +708,10 @@
 	{ "targets-of-the-longest-names",
 	  FLEET "put-long-names 12 255; run 1000; drain a; boot 8 11; run 2000; "
 		"each target a draining; each target f11 ready; roles following 11" },
+	/* A page that cannot be sent must not count as sent: followers go to the store instead. */
+	{ "page-that-cannot-be-sent",
+	  FLEET "put-long-names 1 300; run 500; drain a; run 2500; each target a draining; "
+		"run 8000; drain b; run 2500; each target b draining" },
 	{ "claim-without-an-answer", "lose-claims yes; put a; config 3; boot 0 7; run 6000; "
 				     "each target a ready; roles reading 1; drain a; run 1500; "
 				     "each target a draining" },
