view, relay: read withdrawals that do not fit into a page from the store

Callers would see: openings reach targets of a withdrawn data centre, or a draining one, through the followers of a reader (EVAC, DRAIN).

Cause: each page carries the names of all withdrawn data centres. They were not counted in the size of a page, so that many of them made every page too long to be sent, and they were cut off after 64 in the order of a hash table, which ends the withdrawal of the others at the followers. The entries are in the store, where any writer may add some.

Change: write_withdrawals() adds names up to WITHDRAWN_MAX_BYTES, what a page with one target of the longest names has room for. Beyond, the page has a flag instead of names, and the revision of the latest change of the set; a follower that is behind it fetches the list, as it fetches a newer configuration (view_lacks()).

Why a list from the store and not several pages: the set is small on every deployment, changes seldom and has to be applied as a whole.

--- a/beliefs.c
+++ b/beliefs.c
@@ -216,6 +216,7 @@
 		return;
 	placing_withdraw(&cs->placing, data_centre, withdrawn);
 	cs->withdrawals++;
+	cs->withdrawals_revision = cs->report_revision;
 	decision_log(DECISION_CONFIG, now, "data_centre=%s withdrawn=%d",
 		     symbols_name(&cs->symbols, data_centre), withdrawn);
 }
--- a/beliefs.h
+++ b/beliefs.h
@@ -37,6 +37,7 @@
 	GHashTable *lapsed;    /* GString id to struct timespec: when the target is removed */
 	GHashTable *malformed; /* names of malformed entries that were logged */
 	uint64_t withdrawals;  /* changes of the set of withdrawn data centres */
+	int64_t withdrawals_revision; /* store revision of the answer with the latest change */
 	GHashTable
 		*withdrawn_listed; /* data centre symbols in the list of withdrawals being read */
 	bool known[CONTROL_KINDS]; /* reported completely at least once */
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -337,6 +337,7 @@
 typedef struct peer_view_ask peer_view_ask;
 #define PEER_READER_STORE_LOST 1
 #define PEER_READER_STOPPING 2
+#define PEER_READER_WITHDRAWN_OMITTED 4
 
 enum peer_view_next {
 	PEER_VIEW_LAST = 0,
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -305,6 +305,7 @@
 /* Flags of a reader. */
 const PEER_READER_STORE_LOST = 1;
 const PEER_READER_STOPPING = 2;
+const PEER_READER_WITHDRAWN_OMITTED = 4; /* too long; see withdrawals_revision */
 
 enum peer_view_next {
 	PEER_VIEW_LAST = 0,    /* the page is the last one */
@@ -322,6 +323,7 @@
 	unsigned int age_ms; /* since the store's last answer, for the kind for which it is oldest */
 	unsigned hyper targets_revision; /* revisions to which the reader has all of a kind */
 	unsigned hyper config_revision;
+	/* With PEER_READER_WITHDRAWN_OMITTED: revision that a list must have to be recent enough. */
 	unsigned hyper withdrawals_revision;
 	unsigned hyper config_version;
 	peer_name withdrawn<PEER_MAX_VIEW_NAMES>;
--- a/relay.c
+++ b/relay.c
@@ -363,8 +363,8 @@
 	for (int i = 0; i < CONTROL_KINDS; i++) {
 		control_state_store_answered(cs, (enum control_kind)i,
 					     ts_add_ms(relay->now, -(int64_t)page->age_ms));
-		/* A newer configuration is fetched, and confirmed when it has been read. */
-		if (i != CONTROL_CONFIG || page->config_version <= routing_version(cs->routing))
+		/* What the page lacks is fetched, and confirmed when it has been read. */
+		if (!view_lacks(cs, page, (enum control_kind)i))
 			control_state_received(cs, (enum control_kind)i, relay->now);
 	}
 }
@@ -441,8 +441,10 @@
 		handle_reader_store_loss(relay);
 	else if (res == VIEW_COMPLETE)
 		finish_update(relay, page);
-	if (relay->upstream_paused && page->config_version > routing_version(cs->routing))
-		up->ops->fetch(up, CONTROL_CONFIG);
+	for (int i = 0; relay->upstream_paused && i < CONTROL_KINDS; i++) {
+		if (view_lacks(cs, page, (enum control_kind)i))
+			up->ops->fetch(up, (enum control_kind)i);
+	}
 	/* Counted from the latest request, so that pages do not postpone the next one. */
 	if (relay->role == RELAY_FOLLOWING)
 		relay->next_request = ts_add_ms(relay->last_request, REQUEST_INTERVAL_MS);
--- a/t/test-listing.c
+++ b/t/test-listing.c
@@ -9,6 +9,7 @@
 
 #include "platform/reports.h"
 #include "random.h"
+#include "snapshot.h"
 #include "t/silent-out.h"
 
 #define MAX_ANSWERS 6
@@ -303,6 +304,37 @@
 	teardown(&fix);
 }
 
+/* Guards against a withdrawal without a name, which made the snapshot invalid as a whole. */
+static void test_unnamed_withdrawal(void)
+{
+	const char *const text = PART("10", "false", "{\"meta\":7,\"spec\":[]}," ZONE("home", "5"));
+	struct timespec now = { 1000, 0 };
+	GString *document = g_string_new(NULL);
+	struct faults faults;
+	struct snapshot *snap;
+	struct fixture fix;
+	json_object *answer;
+	bool changed;
+
+	setup(&fix);
+	faults_init(&faults);
+	answer = json_tokener_parse(PART("10", "false", MAIN("4", "6")));
+	g_assert_null(listing_apply(reports_listing(&fix.reports, CONTROL_CONFIG), answer, true,
+				    &changed));
+	json_object_put(answer);
+	answer = json_tokener_parse(text);
+	g_assert_null(listing_apply(reports_listing(&fix.reports, CONTROL_WITHDRAWALS), answer,
+				    true, &changed));
+	json_object_put(answer);
+	snapshot_write(&fix.control_state, document, now);
+	snap = snapshot_parse(document->str, document->len, &faults);
+	g_assert_nonnull(snap);
+	snapshot_free(snap);
+	faults_release(&faults);
+	g_string_free(document, TRUE);
+	teardown(&fix);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -313,5 +345,6 @@
 		g_free(path);
 	}
 	g_test_add_func("/listing/reborn-once", test_reborn_once);
+	g_test_add_func("/listing/unnamed-withdrawal", test_unnamed_withdrawal);
 	return g_test_run();
 }
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -70,8 +70,9 @@
 	uint64_t config_version;
 	int64_t withdrawn_revision;
 	bool withdrawn;
-	struct reader_entry entry; /* revision 0 for none */
-	bool lose_claims;	   /* claims are applied, but their answers are lost */
+	unsigned int nr_withdrawn_more; /* data centres without targets, withdrawn too */
+	struct reader_entry entry;	/* revision 0 for none */
+	bool lose_claims;		/* claims are applied, but their answers are lost */
 	GPtrArray *sent;
 	bool link_cut[MAX_NODES][MAX_NODES];
 	unsigned int loss_percent;
@@ -281,6 +282,12 @@
 static void report_withdrawals(struct node *node, struct timespec now)
 {
 	control_state_withdrawals_begin(&node->control_state);
+	for (unsigned int i = 0; i < node->sim->nr_withdrawn_more; i++) {
+		char name[32];
+
+		g_snprintf(name, sizeof(name), "data-centre-without-targets-%02u", i);
+		control_state_withdraw(&node->control_state, name, true, now);
+	}
 	if (node->sim->withdrawn)
 		control_state_withdraw(&node->control_state, "home", true, now);
 	control_state_withdrawals_end(&node->control_state, now);
@@ -573,6 +580,9 @@
 	} else if (!strcmp(cmd, "withdraw") || !strcmp(cmd, "restore")) {
 		sim->withdrawn = !strcmp(cmd, "withdraw");
 		sim->withdrawn_revision = ++sim->revision;
+	} else if (!strcmp(cmd, "withdraw-more")) {
+		sim->nr_withdrawn_more = (unsigned int)g_ascii_strtoull(words[1], NULL, 10);
+		sim->withdrawn_revision = ++sim->revision;
 	} else if (!strcmp(cmd, "freeze") || !strcmp(cmd, "wake")) {
 		sim->frozen = node_named(sim, words[1]);
 		sim->nodes[sim->frozen].frozen = !strcmp(cmd, "freeze");
@@ -712,6 +722,16 @@
 	{ "page-that-cannot-be-sent",
 	  FLEET "put-long-names 1 300; run 500; drain a; run 2500; each target a draining; "
 		"run 8000; drain b; run 2500; each target b draining" },
+	/* A list of withdrawals that fits no page was cut off, so that some seemed to have ended.
+	 */
+	{ "withdrawals-that-fit-no-page",
+	  FLEET "withdraw; run 400; withdraw-more 90; run 600; each withdrawn yes; "
+		"drain a; run 400; each target a draining; boot 8 11; run 1000; each ready; "
+		"each withdrawn yes; restore; run 600; each withdrawn no; withdraw; run 600; "
+		"each withdrawn yes; roles following 11; withdraw-more 0; restore; run 600; "
+		"each withdrawn no" },
+	{ "withdrawals-that-fit-no-page-cost-few-calls",
+	  FLEET "withdraw-more 90; run 600; count; run 3000; calls-below 100" },
 	{ "claim-without-an-answer", "lose-claims yes; put a; config 3; boot 0 7; run 6000; "
 				     "each target a ready; roles reading 1; drain a; run 1500; "
 				     "each target a draining" },
@@ -746,6 +766,90 @@
 	g_free(sim);
 }
 
+struct applied_pages {
+	struct control_state *control_state;
+	struct view_progress progress;
+	unsigned int nr;
+};
+
+static void apply_page(void *arg, const peer_msg *msg)
+{
+	struct applied_pages *pages = arg;
+	GByteArray *bytes = g_byte_array_new();
+
+	g_assert_cmpint(peer_msg_encode(msg, bytes), ==, 0);
+	g_assert_cmpuint(bytes->len, <=, VIEW_MAX_MESSAGE_BYTES);
+	g_byte_array_unref(bytes);
+	g_assert_cmpint(view_apply(pages->control_state, &pages->progress, &msg->peer_msg_u.view,
+				   ts_from_ms(START_MS)),
+			>=, VIEW_APPLIED);
+	pages->nr++;
+}
+
+/* A data centre name of @len bytes, all of them @fill. */
+static void withdraw_named(struct control_state *cs, char fill, gsize len)
+{
+	char *name = g_strnfill(len, fill);
+
+	control_state_withdraw(cs, name, true, ts_from_ms(START_MS));
+	g_free(name);
+}
+
+/*
+ * Guards against a page that exceeds the largest datagram when all its names have the greatest
+ * length: no follower would receive it.
+ */
+static void test_largest_page(void)
+{
+	struct steer_out out = { &null_out_ops };
+	struct seeded_random random;
+	struct control_state_options opts = {
+		.data_centre = "home",
+		.max_flows = 16,
+		.random = &random.random,
+		.out = &out,
+	};
+	struct control_state cs[2];
+	struct applied_pages pages = { .control_state = &cs[1] };
+	struct view_range range = { .after = "", .max_pages = 8 };
+	GPtrArray *changed;
+
+	seeded_random_init(&random, 1);
+	for (int i = 0; i < 2; i++)
+		control_state_init(&cs[i], &opts);
+	view_progress_init(&pages.progress);
+	control_state_begin_answer(&cs[0], 7);
+	for (char fill = 'a'; fill <= 'c'; fill++) {
+		char *name = g_strnfill(CONTROL_NAME_MAX_BYTES, fill);
+		char *zone = g_strnfill(CONTROL_NAME_MAX_BYTES, g_ascii_toupper(fill));
+		struct target_info info = {
+			.id = name,
+			.ep = { 0x0a800001, 80 },
+			.service = symbols_intern(&cs[0].symbols, name),
+			.data_centre = symbols_intern(&cs[0].symbols, zone),
+			.slots = 2,
+			.revision = 7,
+		};
+
+		control_state_put_target(&cs[0], &info, ts_from_ms(START_MS));
+		withdraw_named(&cs[0], fill, 48);
+		g_free(name);
+		g_free(zone);
+	}
+	control_state_complete(&cs[0], CONTROL_TARGETS, 7);
+	control_state_complete(&cs[0], CONTROL_WITHDRAWALS, 7);
+	changed = registry_changed_since(cs[0].registry, 0, "");
+	range.changed = changed;
+	g_assert_true(view_write(&cs[0], &range, ts_from_ms(START_MS), apply_page, &pages));
+	g_assert_cmpuint(pages.nr, ==, 3);
+	g_assert_cmpuint(registry_count(cs[1].registry), ==, 3);
+	g_assert_cmpuint(g_hash_table_size(cs[1].placing.withdrawn), ==, 3);
+	g_ptr_array_unref(changed);
+	view_progress_release(&pages.progress);
+	for (int i = 0; i < 2; i++)
+		control_state_release(&cs[i]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -757,5 +861,6 @@
 		g_test_add_data_func(path, &scripts[i], test_script);
 		g_free(path);
 	}
+	g_test_add_func("/relay/largest-page", test_largest_page);
 	return g_test_run();
 }
--- a/view.c
+++ b/view.c
@@ -6,10 +6,15 @@
 
 /* With names of up to 16 bytes such a page fits a datagram of 1,280 bytes. */
 #define PAGE_TARGETS 14
-/* Size of an encoded target without its identifier. */
+/* Sizes of an encoded page without names and targets, and of a target without its identifier. */
+#define PAGE_FIXED_BYTES   76
 #define TARGET_FIXED_BYTES 48
-#define HALF_BITS	   16
-#define HALF_MASK	   0xffffu
+#define NAME_BYTES	   (BYTES_PER_XDR_UNIT + RNDUP(PEER_MAX_VIEW_NAME))
+/* What a page with one target of the longest names has room for. */
+#define WITHDRAWN_MAX_BYTES                                                                        \
+	(VIEW_MAX_MESSAGE_BYTES - PAGE_FIXED_BYTES - TARGET_FIXED_BYTES - 4 * NAME_BYTES)
+#define HALF_BITS 16
+#define HALF_MASK 0xffffu
 
 G_STATIC_ASSERT(CONTROL_NAME_MAX_BYTES == PEER_MAX_VIEW_NAME);
 
@@ -20,6 +25,12 @@
 	u_int nr;
 };
 
+/* Size of an encoded string. */
+static size_t string_bytes(const char *str)
+{
+	return BYTES_PER_XDR_UNIT + RNDUP(strlen(str));
+}
+
 static uint32_t name_index(struct name_table *table, const struct symbols *syms, uint32_t sym)
 {
 	u_int i;
@@ -61,17 +72,30 @@
 	}
 }
 
-static u_int fill_withdrawn_names(const struct control_state *cs,
-				  peer_name names[PEER_MAX_VIEW_NAMES])
+/* Fills in the withdrawn data centres; their names are put into @names. */
+static void write_withdrawals(const struct control_state *cs, peer_view_page *page,
+			      peer_name names[PEER_MAX_VIEW_NAMES])
 {
 	GHashTableIter iter;
 	gpointer sym;
+	size_t size = 0;
 	u_int nr = 0;
 
 	g_hash_table_iter_init(&iter, cs->placing.withdrawn);
-	while (g_hash_table_iter_next(&iter, &sym, NULL) && nr < PEER_MAX_VIEW_NAMES)
-		names[nr++] = (char *)symbols_name(&cs->symbols, GPOINTER_TO_UINT(sym));
-	return nr;
+	while (g_hash_table_iter_next(&iter, &sym, NULL)) {
+		const char *name = symbols_name(&cs->symbols, GPOINTER_TO_UINT(sym));
+
+		size += string_bytes(name);
+		if (nr == PEER_MAX_VIEW_NAMES || size > WITHDRAWN_MAX_BYTES) {
+			page->reader |= PEER_READER_WITHDRAWN_OMITTED;
+			page->withdrawals_revision = (uint64_t)MAX(cs->withdrawals_revision, 1);
+			return;
+		}
+		names[nr++] = (char *)name;
+	}
+	page->withdrawals_revision = (uint64_t)cs->complete[CONTROL_WITHDRAWALS];
+	page->withdrawn.withdrawn_len = nr;
+	page->withdrawn.withdrawn_val = names;
 }
 
 static int64_t oldest_ms(const struct control_state *cs, struct timespec now)
@@ -83,12 +107,6 @@
 	return age;
 }
 
-/* Size of an encoded string. */
-static size_t string_bytes(const char *str)
-{
-	return BYTES_PER_XDR_UNIT + RNDUP(strlen(str));
-}
-
 /* Bytes that the name of @sym adds to a page: 0 if the page has it already. */
 static size_t name_bytes(const struct name_table *table, const struct symbols *syms, uint32_t sym)
 {
@@ -162,13 +180,11 @@
 		.age_ms = (uint32_t)MIN(oldest_ms(cs, now), UINT32_MAX),
 		.targets_revision = (uint64_t)cs->complete[CONTROL_TARGETS],
 		.config_revision = (uint64_t)cs->complete[CONTROL_CONFIG],
-		.withdrawals_revision = (uint64_t)cs->complete[CONTROL_WITHDRAWALS],
 		.config_version = routing_version(cs->routing),
-		.withdrawn.withdrawn_val = withdrawn,
-		.withdrawn.withdrawn_len = fill_withdrawn_names(cs, withdrawn),
 		.base = (uint64_t)range->base,
 		.targets.targets_val = targets,
 	};
+	write_withdrawals(cs, page, withdrawn);
 	do {
 		struct name_table table = { .nr = 0 };
 		guint end;
@@ -252,8 +268,10 @@
 static void apply_withdrawals(struct control_state *cs, const peer_view_page *page,
 			      struct timespec now)
 {
-	if ((int64_t)page->withdrawals_revision < cs->complete[CONTROL_WITHDRAWALS])
+	if (page->reader & PEER_READER_WITHDRAWN_OMITTED ||
+	    (int64_t)page->withdrawals_revision < cs->complete[CONTROL_WITHDRAWALS])
 		return;
+	control_state_begin_answer(cs, (int64_t)page->withdrawals_revision);
 	control_state_withdrawals_begin(cs);
 	for (u_int i = 0; i < page->withdrawn.withdrawn_len; i++)
 		control_state_withdraw(cs, page->withdrawn.withdrawn_val[i], true, now);
@@ -295,6 +313,21 @@
 		control_state_complete(cs, CONTROL_CONFIG, (int64_t)page->config_revision);
 }
 
+bool view_lacks(const struct control_state *cs, const peer_view_page *page, enum control_kind kind)
+{
+	switch (kind) {
+	case CONTROL_CONFIG:
+		return page->config_version > routing_version(cs->routing);
+	case CONTROL_WITHDRAWALS:
+		return page->reader & PEER_READER_WITHDRAWN_OMITTED &&
+		       cs->complete[kind] < (int64_t)page->withdrawals_revision;
+	case CONTROL_TARGETS:
+	case CONTROL_KINDS:
+		break;
+	}
+	return false;
+}
+
 enum view_result view_apply(struct control_state *cs, struct view_progress *vp,
 			    const peer_view_page *page, struct timespec now)
 {
--- a/view.h
+++ b/view.h
@@ -55,6 +55,12 @@
 void view_progress_release(struct view_progress *vp);
 void view_progress_reset(struct view_progress *vp);
 
+/*
+ * Whether the reader has newer data of @kind than @cs, which its page does not carry. False for
+ * CONTROL_TARGETS, whose changes are all in pages.
+ */
+bool view_lacks(const struct control_state *cs, const peer_view_page *page, enum control_kind kind);
+
 /* Applies a page. Withdrawals are applied after VIEW_GAP too, targets are not. */
 enum view_result view_apply(struct control_state *cs, struct view_progress *vp,
 			    const peer_view_page *page, struct timespec now);
