listing: read answers no deeper than their entries are decoded

Cause: an answer of the store was parsed as a whole, and json-c refuses a text that has more than 32 levels. One entry of another writer with a field nested 40 deep thus made every list and every event unreadable; the lines say "events is not an array" and "items is not an array".

Change: json_parse_depth() replaces arrays and objects below a given level by null before json-c sees them, without recursion, and copies the text only if there are any. Each kind of listing states how deep its objects are decoded: 2 levels, 6 for configurations.

Why this works: what is cut off has no meaning for us, so a field that had it has a wrong type, and an entry with a field of a wrong type names no target, as the platform's pages ask; the rest of the answer is read as before.

--- a/t/fuzz-entries.c
+++ b/t/fuzz-entries.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "jsondepth.h"
 #include "platform/entries.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
@@ -25,8 +26,7 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
 {
-	json_tokener *tok = json_tokener_new();
-	json_object *obj = json_tokener_parse_ex(tok, (const char *)bytes, (int)len);
+	json_object *obj = json_parse_depth((const char *)bytes, len, ENTRY_CONFIG_DEPTH);
 	struct routing *rt = routing_new();
 	struct symbols syms;
 	bool newer;
@@ -41,6 +41,5 @@
 	routing_free(rt);
 	symbols_release(&syms);
 	json_object_put(obj);
-	json_tokener_free(tok);
 	return 0;
 }
--- a/t/test-listing.c
+++ b/t/test-listing.c
@@ -1,10 +1,12 @@
 /*
- * Guards against losing a change that the store makes between two parts of a list: a target that
- * drains or has left would stay in use, or a new one unused, until the instance restarts. Each case
- * is a series of the store's answers and the state that must result.
+ * Guards against losing a change that the store makes between two parts of a list, and against an
+ * entry of another writer that makes the entries around it unreadable: a target that drains or has
+ * left would stay in use, or a new one unused, until the instance restarts. Each case is a series
+ * of the store's answers and the state that must result.
  */
 #include <glib.h>
 #include <json-c/json.h>
+#include <malloc.h>
 #include <string.h>
 
 #include "platform/reports.h"
@@ -13,6 +15,13 @@
 #include "t/silent-out.h"
 
 #define MAX_ANSWERS 6
+/* The platform's limit for an entry. */
+#define ENTRY_BYTES 1048576
+/*
+ * A machine has 260 MB, and an answer up to 8 MB: at most an eighth of the memory may be used for
+ * each megabyte.
+ */
+#define ANSWER_MEMORY_MAX_BYTES 32000000
 
 struct fixture {
 	struct steer_out out; /* first member */
@@ -63,7 +72,15 @@
 #define PART(as_of, more, items) "{\"items\":[" items "],\"more\":" more ",\"as_of\":" as_of "}"
 #define EVENTS(as_of, events)	 "{\"events\":[" events "],\"as_of\":" as_of "}"
 #define PUT(object)		 "{\"object\":" object ",\"deleted\":false}"
-#define GONE(object)		 "{\"object\":" object ",\"deleted\":true}"
+/* An entry of another writer, with any spec. */
+#define ODD(rev, spec)	 "{\"meta\":{\"name\":\"i-ff\",\"rev\":" rev "},\"spec\":" spec "}"
+#define ARRAYS_10(value) "[[[[[[[[[[" value "]]]]]]]]]]"
+#define ARRAYS_40(value) ARRAYS_10(ARRAYS_10(ARRAYS_10(ARRAYS_10(value))))
+#define ODD_TARGET(addr, slots, born)                                                              \
+	"{\"service\":\"web\",\"addr\":\"" addr                                                    \
+	"\",\"zone\":\"home\",\"version\":\"1\",\"slots\":" slots                                  \
+	",\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":" born "}"
+#define GONE(object) "{\"object\":" object ",\"deleted\":true}"
 
 struct answers_case {
 	const char *name;
@@ -201,6 +218,59 @@
 	  "items is not an array",
 	  "",
 	  0 },
+	/* From review/3: no list or event could be read any more. */
+	{ "deep-entry-in-a-list",
+	  CONTROL_TARGETS,
+	  { PART("10", "false",
+		 TARGET("1", "4", "ready") "," ODD(
+			 "5", "{\"service\":" ARRAYS_40("") "}") "," TARGET("2", "6", "ready")) },
+	  NULL,
+	  "1=ready 2=ready ",
+	  10 },
+	{ "deep-entry-in-events",
+	  CONTROL_TARGETS,
+	  { PART("10", "false", TARGET("1", "4", "ready")),
+	    EVENTS("12", PUT(ODD("11", ARRAYS_40("1"))) "," PUT(TARGET("1", "12", "draining"))),
+	    EVENTS("14", GONE(ODD("13", ARRAYS_40("1"))) "," PUT(TARGET("2", "14", "ready"))) },
+	  NULL,
+	  "1=draining 2=ready ",
+	  14 },
+	{ "deep-withdrawal",
+	  CONTROL_WITHDRAWALS,
+	  { PART("10", "false", ODD("4", "{\"x\":" ARRAYS_40("") "}") "," ZONE("home", "5")) },
+	  NULL,
+	  "withdrawn ",
+	  10 },
+	{ "deep-entry-beside-the-configuration",
+	  CONTROL_CONFIG,
+	  { PART("10", "false", ODD("4", ARRAYS_40("{}")) "," MAIN("5", "6")) },
+	  NULL,
+	  "config=6 ",
+	  10 },
+	/* Numbers that no field of an entry can hold; the other entries are read. */
+	{ "numbers-too-large",
+	  CONTROL_TARGETS,
+	  { PART("10", "false",
+		 ODD("4", ODD_TARGET("10.0.0.9:80", "99999999999999999999", "1")) "," TARGET(
+			 "1", "5", "ready")),
+	    EVENTS("11", PUT(ODD("11", ODD_TARGET("10.0.0.9:80", "1e999", "1")))),
+	    EVENTS("12", PUT(ODD("12", ODD_TARGET("10.0.0.9:80", "2", "1e999")))),
+	    EVENTS("13", PUT(ODD("13", ODD_TARGET("10.0.0.9:80", "2", "-1")))),
+	    EVENTS("14", PUT(TARGET("2", "14", "ready"))) },
+	  NULL,
+	  "1=ready 2=ready ",
+	  14 },
+	{ "ports-out-of-range",
+	  CONTROL_TARGETS,
+	  { PART("10", "false",
+		 ODD("4", ODD_TARGET("10.0.0.9:65536", "2", "1")) "," TARGET("1", "5", "ready")),
+	    EVENTS("11", PUT(ODD("11", ODD_TARGET("10.0.0.9:0", "2", "1")))),
+	    EVENTS("12", PUT(ODD("12", ODD_TARGET("10.0.0.9:99999999999999999999", "2", "1")))),
+	    EVENTS("13", PUT(ODD("13", ODD_TARGET("10.0.0.9:-1", "2", "1")))),
+	    EVENTS("14", PUT(TARGET("2", "14", "ready"))) },
+	  NULL,
+	  "1=ready 2=ready ",
+	  14 },
 	/* An entry that becomes malformed is no target any more. */
 	{ "entry-changes-its-type",
 	  CONTROL_TARGETS,
@@ -257,7 +327,7 @@
 	setup(&fix);
 	ls = reports_listing(&fix.reports, c->kind);
 	for (int i = 0; i < MAX_ANSWERS && c->answers[i]; i++) {
-		json_object *answer = json_tokener_parse(c->answers[i]);
+		json_object *answer = listing_parse(ls, c->answers[i], strlen(c->answers[i]));
 		bool changed;
 
 		g_assert_nonnull(answer);
@@ -335,6 +405,70 @@
 	teardown(&fix);
 }
 
+/* A list with a target and an entry of another writer whose spec is @begin, @part again, @end. */
+static GString *list_with_repeated(const char *begin, const char *part, const char *end)
+{
+	GString *text = g_string_new("{\"items\":[" TARGET("1", "4", "ready"));
+
+	g_string_append_printf(text, ",{\"meta\":{\"name\":\"i-ff\",\"rev\":5},\"spec\":%s%s",
+			       begin, part);
+	while (text->len < ENTRY_BYTES)
+		g_string_append_printf(text, ",%s", part);
+	g_string_append_printf(text, "%s}],\"more\":false,\"as_of\":10}", end);
+	return text;
+}
+
+static size_t allocated_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+/*
+ * Guards against an entry of the largest size whose many values take more memory than a machine
+ * has: every instance that reads the list would be killed, also after its restart.
+ */
+static void test_memory(void)
+{
+	static const struct {
+		const char *name, *begin, *part, *end;
+	} entries[] = {
+		{ "objects in a field", "{\"service\":[", "{}", "]}" },
+		{ "objects as spec", "[", "{}", "]" },
+		{ "arrays in a field", "{\"service\":[", "[]", "]}" },
+		{ "numbers in a field", "{\"slots\":[", "1", "]}" },
+		{ "nested objects", "{\"service\":[", "{\"\":{\"\":{}}}", "]}" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
+		GString *text =
+			list_with_repeated(entries[i].begin, entries[i].part, entries[i].end);
+		struct fixture fix;
+		struct listing *ls;
+		size_t before;
+		json_object *answer;
+		size_t used;
+		bool changed;
+		char *state;
+
+		setup(&fix);
+		ls = reports_listing(&fix.reports, CONTROL_TARGETS);
+		before = allocated_bytes();
+		answer = listing_parse(ls, text->str, text->len);
+		used = allocated_bytes() - before;
+		g_test_message("%s: %zu bytes", entries[i].name, used);
+		g_assert_cmpuint(used, <, ANSWER_MEMORY_MAX_BYTES);
+		g_assert_null(listing_apply(ls, answer, true, &changed));
+		state = format_state(&fix);
+		g_assert_cmpstr(state, ==, "1=ready ");
+		g_free(state);
+		json_object_put(answer);
+		g_string_free(text, TRUE);
+		teardown(&fix);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -346,5 +480,6 @@
 	}
 	g_test_add_func("/listing/reborn-once", test_reborn_once);
 	g_test_add_func("/listing/unnamed-withdrawal", test_unnamed_withdrawal);
+	g_test_add_func("/listing/memory", test_memory);
 	return g_test_run();
 }
