platform: read answers of the object API no deeper than objects are decoded

Change: both calls read six levels by json_parse_depth(). Documents are strings and keep their own parser; entries of instances have two levels, metadata and order one more.

Measured: /platform/deep-object failed before (CALL_FAILED instead of CALL_OK).

--- a/platform.c
+++ b/platform.c
@@ -5,16 +5,19 @@
 #include <string.h>
 
 #include "address.h"
+#include "jsondepth.h"
 #include "jsontext.h"
 
 #define API_PREFIX	   "/apis/jujubestage/v1/"
 #define MAX_RESPONSE_BYTES (64 << 20) /* a list of the organisations, each up to 1 MB */
 #define MAX_LINE_BYTES	   (4 << 20) /* an event with a document of 1 MB whose quotes are escaped */
-#define HTTP_OK		   200
-#define HTTP_CREATED	   201
-#define HTTP_NOT_FOUND	   404
-#define HTTP_CONFLICT	   409
-#define HTTP_GONE	   410
+/* Levels that are read: collection, "items", object, "metadata" or "status", and two below. */
+#define MAX_DEPTH      6
+#define HTTP_OK	       200
+#define HTTP_CREATED   201
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT  409
+#define HTTP_GONE      410
 
 struct platform_http {
 	struct platform platform; /* first member */
@@ -113,21 +116,6 @@
 	return ok;
 }
 
-/* Parses a JSON object. Returns NULL when it is incomplete or malformed. */
-static json_object *parse_object(const char *bytes, size_t len)
-{
-	json_tokener *tok = json_tokener_new();
-	json_object *obj = json_tokener_parse_ex(tok, bytes, (int)len);
-
-	if (json_tokener_get_error(tok) != json_tokener_success ||
-	    !json_object_is_type(obj, json_type_object)) {
-		json_object_put(obj);
-		obj = NULL;
-	}
-	json_tokener_free(tok);
-	return obj;
-}
-
 static enum call_status status_of(const struct platform_call *call,
 				  const struct http_response *response)
 {
@@ -160,7 +148,7 @@
 	struct platform_result res = { .status = status_of(call, response), .version = "" };
 
 	if (res.status == CALL_OK) {
-		res.body = parse_object(response->body, response->len);
+		res.body = json_parse_depth(response->body, response->len, MAX_DEPTH);
 		if (res.body)
 			res.version = platform_version(res.body);
 		else
@@ -325,7 +313,7 @@
 /* Returns false when the connection of the watch was closed or the watch freed. */
 static bool handle_event_line(struct platform_watch *watch, const char *bytes, size_t len)
 {
-	json_object *event = parse_object(bytes, len);
+	json_object *event = json_parse_depth(bytes, len, MAX_DEPTH);
 	json_object *obj = event ? json_object_object_get(event, "object") : NULL;
 	const char *type = json_str(event, "type");
 	const char *version = platform_version(obj);
--- a/t/test-platform.c
+++ b/t/test-platform.c
@@ -14,6 +14,7 @@
 
 #define WAIT_LIMIT_MS 20000 /* bounds a failing run; a wait ends with its condition */
 #define STEP_MS	      20
+#define DEEP_LEVELS   30 /* as many as the stand-in takes */
 
 struct fixture {
 	struct standin_child child;
@@ -146,6 +147,37 @@
 	g_string_free(text, TRUE);
 }
 
+/*
+ * Guards against an object of another writer that is nested too deeply: no list with it could be
+ * read any more.
+ */
+static void test_deep_object(struct fixture *fx, gconstpointer data)
+{
+	json_object *obj = json_object_new_object();
+	json_object *deep = json_object_new_array();
+	json_object *items;
+
+	(void)data;
+	for (int i = 1; i < DEEP_LEVELS; i++) {
+		json_object *outer = json_object_new_array();
+
+		json_object_array_add(outer, deep);
+		deep = outer;
+	}
+	json_object_object_add(obj, "value", deep);
+	g_assert_cmpint(put(fx, "a", "", 1), ==, CALL_OK);
+	platform_sync_put(fx->sync, "organisations", "b", "", obj, &fx->res);
+	g_assert_cmpint(fx->res.status, ==, CALL_OK);
+	g_assert_cmpint(put(fx, "c", "", 3), ==, CALL_OK);
+	platform_sync_list(fx->sync, "organisations", &fx->res);
+	g_assert_cmpint(fx->res.status, ==, CALL_OK);
+	items = json_object_object_get(fx->res.body, "items");
+	g_assert_cmpuint(json_object_array_length(items), ==, 3);
+	g_assert_cmpstr(platform_name(json_object_array_get_idx(items, 0)), ==, "c");
+	g_assert_cmpstr(platform_name(json_object_array_get_idx(items, 2)), ==, "a");
+	json_object_put(obj);
+}
+
 static void on_watch(void *arg, enum watch_event what, json_object *obj)
 {
 	struct fixture *fx = arg;
@@ -423,6 +455,7 @@
 } cases[] = {
 	{ "/platform/versions", test_versions },
 	{ "/platform/outcomes", test_outcomes },
+	{ "/platform/deep-object", test_deep_object },
 	{ "/platform/watch", test_watch },
 	{ "/platform/watch-silent", test_watch_silent },
 	{ "/platform/watch-gone", test_watch_gone },
