--- a/t/test-listing.c
+++ b/t/test-listing.c
@@ -405,6 +405,43 @@
 	teardown(&fix);
 }
 
+/* Guards against a name of another writer's object that ends the query or the request line. */
+static void test_paths(void)
+{
+	static const struct {
+		const char *last; /* name of the last object of the part before, NULL for none */
+		int64_t watch_from;
+		bool fresh;
+		const char *path;
+	} paths[] = {
+		{ NULL, 0, false, "/objects/servers?stale_ok=1" },
+		{ NULL, 0, true, "/objects/servers" },
+		{ "i-1", 0, false, "/objects/servers?after=i-1&stale_ok=1" },
+		{ "i-1", 0, true, "/objects/servers?after=i-1" },
+		{ "i-1&after=z", 0, true, "/objects/servers?after=i-1%26after%3Dz" },
+		{ "a b\r\nc", 0, true, "/objects/servers?after=a%20b%0D%0Ac" },
+		{ "100%/#?+", 0, true, "/objects/servers?after=100%25%2F%23%3F%2B" },
+		{ "\303\274", 0, true, "/objects/servers?after=%C3%BC" },
+		{ NULL, 17, false, "/objects/servers?watch=17&wait_ms=2500&stale_ok=1" },
+		{ NULL, 17, true, "/objects/servers?watch=17&wait_ms=2500" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		struct fixture fix;
+		struct listing *ls;
+		char *path;
+
+		setup(&fix);
+		ls = reports_listing(&fix.reports, CONTROL_TARGETS);
+		ls->revision = paths[i].watch_from;
+		g_string_assign(ls->after_name, paths[i].last ? paths[i].last : "");
+		path = listing_path(ls, "servers", 2500, paths[i].fresh);
+		g_assert_cmpstr(path, ==, paths[i].path);
+		g_free(path);
+		teardown(&fix);
+	}
+}
+
 /* A list with a target and an entry of another writer whose spec is @begin, @part again, @end. */
 static GString *list_with_repeated(const char *begin, const char *part, const char *end)
 {
@@ -480,6 +517,7 @@
 	}
 	g_test_add_func("/listing/reborn-once", test_reborn_once);
 	g_test_add_func("/listing/unnamed-withdrawal", test_unnamed_withdrawal);
+	g_test_add_func("/listing/paths", test_paths);
 	g_test_add_func("/listing/memory", test_memory);
 	return g_test_run();
 }
