--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -34,6 +34,11 @@
 	  "--seconds 24 --net 19 --instances 8 --faults --seed 12 "
 	  "--only kill,pause,term,store-silent,store-busy,config,target-release,withdraw",
 	  NULL },
+	/* Entries of another writer must not hide what changes in the others. */
+	{ "odd-entries",
+	  "--seconds 24 --net 31 --instances 8 --faults --seed 1 "
+	  "--only store-malformed,target-release,kill,config,withdraw",
+	  NULL },
 	{ "drains-with-old-beliefs",
 	  "--seconds 16 --net 23 --faults --seed 3 --only target-release --watch-pause 10000",
 	  "DRAIN: " },
--- a/t/world/store.c
+++ b/t/world/store.c
@@ -338,6 +338,7 @@
 	char *name;
 	char *watch;
 	char *wait;
+	char *escaped;
 	char *after;
 
 	switch (conn->inst->store_mode) {
@@ -384,7 +385,9 @@
 	}
 	watch = query_value(query ? query : "", "watch");
 	wait = query_value(query ? query : "", "wait_ms");
-	after = query_value(query ? query : "", "after");
+	escaped = query_value(query ? query : "", "after");
+	after = g_uri_unescape_string(escaped, NULL);
+	g_free(escaped);
 	if (*watch) {
 		conn->kind = g_strdup(path);
 		conn->watch_rev = g_ascii_strtoll(watch, NULL, 10);
--- a/t/world/world.c
+++ b/t/world/world.c
@@ -452,6 +452,38 @@
 	change_config(w);
 }
 
+#define ODD_SPEC(service, addr, slots)                                                             \
+	"{\"service\":\"" service "\",\"addr\":\"" addr "\",\"zone\":\"dc0\",\"version\":\"v1\","  \
+	"\"slots\":" slots ",\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":7}"
+#define ARRAYS_10(value) "[[[[[[[[[[" value "]]]]]]]]]]"
+#define BYTES_40	 "a-service-of-which-nothing-is-configured"
+
+/* Entries of another writer, which name nothing to use. */
+static const struct odd_entry {
+	const char *kind;
+	const char *name;
+	const char *spec;
+} odd_entries[] = {
+	{ "servers", "i-bad", "\"text\"" },
+	{ "servers", "i-bad", "{\"service\":7}" },
+	{ "servers", "i-d0", "{\"service\":" ARRAYS_10(ARRAYS_10(ARRAYS_10(ARRAYS_10("1")))) "}" },
+	{ "servers", "i-d1", ODD_SPEC(BYTES_40 BYTES_40 BYTES_40 BYTES_40, "127.0.0.9:9", "2") },
+	{ "servers", "i-d2", ODD_SPEC(BYTES_40 BYTES_40, "127.0.0.9:9", "2") },
+	{ "servers", "i-d3", ODD_SPEC("web", "127.0.0.9:99999", "2") },
+	{ "servers", "i-d4", ODD_SPEC("web", "127.0.0.9:9", "99999999999999999999") },
+	{ "servers", "i-d&after=z 5", "[]" },
+	{ "evacuations", BYTES_40 BYTES_40 BYTES_40 BYTES_40, "{}" },
+	{ "evacuations", "i-d&after=z 5", "{\"x\":" ARRAYS_10(ARRAYS_10(ARRAYS_10("1"))) "}" },
+};
+
+static void put_odd_entry(struct world *w)
+{
+	const struct odd_entry *odd = &odd_entries[wrandom(w, G_N_ELEMENTS(odd_entries))];
+
+	store_put(w, odd->kind, odd->name, odd->spec);
+	note_event(w, "an odd entry, %s \"%s\"", odd->kind, odd->name);
+}
+
 static void inject(struct world *w, const bool *only)
 {
 	enum fault_kind nr = FAULT_LOSSY + 1;
@@ -498,8 +530,7 @@
 		note_event(w, "the store forgets its history");
 		break;
 	case FAULT_STORE_MALFORMED:
-		store_put(w, "servers", "i-bad", wrandom(w, 2) ? "{\"service\":7}" : "\"text\"");
-		note_event(w, "a malformed entry");
+		put_odd_entry(w);
 		break;
 	case FAULT_CONFIG:
 		change_config(w);
