--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -819,9 +819,9 @@
 		control_state_init(&cs[i], &opts);
 	view_progress_init(&pages.progress);
 	control_state_begin_answer(&cs[0], 7);
-	for (char fill = 'a'; fill <= 'c'; fill++) {
-		char *name = g_strnfill(CONTROL_NAME_MAX_BYTES, fill);
-		char *zone = g_strnfill(CONTROL_NAME_MAX_BYTES, g_ascii_toupper(fill));
+	for (const char *fill = "abc"; *fill; fill++) {
+		char *name = g_strnfill(CONTROL_NAME_MAX_BYTES, *fill);
+		char *zone = g_strnfill(CONTROL_NAME_MAX_BYTES, g_ascii_toupper(*fill));
 		struct target_info info = {
 			.id = name,
 			.ep = { 0x0a800001, 80 },
@@ -832,7 +832,7 @@
 		};
 
 		control_state_put_target(&cs[0], &info, ts_from_ms(START_MS));
-		withdraw_named(&cs[0], fill, 48);
+		withdraw_named(&cs[0], *fill, 48);
 		g_free(name);
 		g_free(zone);
 	}
