--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -39,6 +39,9 @@
 	  "--seconds 24 --net 31 --instances 8 --faults --seed 1 "
 	  "--only store-malformed,target-release,kill,config,withdraw",
 	  NULL },
+	/* Events that are too long for one answer must not be asked for again and again. */
+	{ "events-too-long",
+	  "--seconds 20 --net 32 --faults --seed 1 --only store-huge,target-release", NULL },
 	{ "drains-with-old-beliefs",
 	  "--seconds 16 --net 23 --faults --seed 3 --only target-release --watch-pause 10000",
 	  "DRAIN: " },
--- a/t/world/store.c
+++ b/t/world/store.c
@@ -29,6 +29,7 @@
 	int64_t watch_rev;
 	int64_t due_ms;	 /* the watch ends, or a slow answer is given */
 	GString *answer; /* a slow answer that waits */
+	GString *rest;	 /* of an answer that is larger than the socket's buffer; NULL for none */
 	bool silent;
 	bool unanswered; /* the call is carried out and its answer lost */
 	bool stale_ok;	 /* the call accepts a stale answer */
@@ -65,6 +66,8 @@
 	g_string_free(conn->request, TRUE);
 	if (conn->answer)
 		g_string_free(conn->answer, TRUE);
+	if (conn->rest)
+		g_string_free(conn->rest, TRUE);
 	g_free(conn->kind);
 	g_free(conn);
 }
@@ -150,22 +153,34 @@
 			       obj->name, obj->rev, obj->spec);
 }
 
+/* Sends what is left of an answer, and closes the connection after its end. */
+static void send_rest(struct connection *conn)
+{
+	ssize_t len = send(conn->fd, conn->rest->str, conn->rest->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	if (len < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (len > 0)
+		g_string_erase(conn->rest, 0, len);
+	if (len <= 0 || !conn->rest->len)
+		g_ptr_array_remove_fast(store.connections, conn);
+}
+
 static void write_answer(struct connection *conn, const char *status, const char *body)
 {
-	GString *text;
 
 	if (conn->unanswered) {
 		conn->silent = true;
 		return;
 	}
-	text = g_string_new(NULL);
-	g_string_printf(text,
+	conn->due_ms = 0;
+	g_clear_pointer(&conn->kind, g_free);
+	conn->rest = g_string_new(NULL);
+	g_string_printf(conn->rest,
 			"HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
 			"Connection: close\r\n\r\n%s",
 			status, strlen(body), body);
-	(void)!send(conn->fd, text->str, text->len, MSG_NOSIGNAL);
-	g_string_free(text, TRUE);
-	g_ptr_array_remove_fast(store.connections, conn);
+	send_rest(conn);
 }
 
 static bool reads_frozen(const struct connection *conn)
@@ -454,7 +469,7 @@
 	}
 	for (guint i = 0; i < store.connections->len; i++) {
 		const struct connection *conn = g_ptr_array_index(store.connections, i);
-		struct pollfd fd = { conn->fd, POLLIN, 0 };
+		struct pollfd fd = { conn->fd, conn->rest ? POLLOUT : POLLIN, 0 };
 
 		g_array_append_val(fds, fd);
 	}
@@ -512,7 +527,10 @@
 		struct connection *conn = g_ptr_array_index(store.connections, i);
 
 		if (conn->fd == fd->fd) {
-			read_connection(w, conn);
+			if (conn->rest)
+				send_rest(conn);
+			else
+				read_connection(w, conn);
 			return;
 		}
 	}
--- a/t/world/world.c
+++ b/t/world/world.c
@@ -458,6 +458,9 @@
 #define ARRAYS_10(value) "[[[[[[[[[[" value "]]]]]]]]]]"
 #define BYTES_40	 "a-service-of-which-nothing-is-configured"
 
+#define HUGE_BYTES   1000000
+#define HUGE_ENTRIES 10
+
 /* Entries of another writer, which name nothing to use. */
 static const struct odd_entry {
 	const char *kind;
@@ -484,6 +487,24 @@
 	note_event(w, "an odd entry, %s \"%s\"", odd->kind, odd->name);
 }
 
+/* At once more bytes of events than an instance takes as one answer. */
+static void put_huge_entries(struct world *w)
+{
+	GString *spec = g_string_new("{\"service\":\"");
+
+	while (spec->len < HUGE_BYTES)
+		g_string_append(spec, BYTES_40);
+	g_string_append_printf(spec, "\",\"seq\":%u}", wrandom(w, 1000));
+	for (unsigned int i = 0; i < HUGE_ENTRIES; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "i-huge-%u", i);
+		store_put(w, "servers", name, spec->str);
+	}
+	g_string_free(spec, TRUE);
+	note_event(w, "%u entries of %u bytes", HUGE_ENTRIES, HUGE_BYTES);
+}
+
 static void inject(struct world *w, const bool *only)
 {
 	enum fault_kind nr = FAULT_LOSSY + 1;
@@ -546,6 +567,9 @@
 	case FAULT_PAUSE_ALL:
 		pause_all(w);
 		break;
+	case FAULT_STORE_HUGE:
+		put_huge_entries(w);
+		break;
 	case FAULT_KINDS:
 		break;
 	}
@@ -687,6 +711,7 @@
 	[FAULT_TARGET_SLOW] = "target-slow",
 	[FAULT_SHIFT] = "shift",
 	[FAULT_PAUSE_ALL] = "pause-all",
+	[FAULT_STORE_HUGE] = "store-huge",
 };
 
 /* Names separated by commas; all kinds for "". Returns false when none is known. */
@@ -696,7 +721,8 @@
 	bool any = false;
 
 	for (int i = 0; i < FAULT_KINDS; i++) {
-		only[i] = !*names || g_strv_contains((const char *const *)list, fault_names[i]);
+		only[i] = (!*names && i != FAULT_STORE_HUGE) ||
+			  g_strv_contains((const char *const *)list, fault_names[i]);
 		any |= only[i];
 	}
 	g_strfreev(list);
--- a/t/world/world.h
+++ b/t/world/world.h
@@ -82,6 +82,7 @@
 	FAULT_TARGET_SLOW,
 	FAULT_SHIFT,
 	FAULT_PAUSE_ALL,
+	FAULT_STORE_HUGE, /* only in days that name it */
 	FAULT_KINDS,
 };
 
