--- a/relay.c
+++ b/relay.c
@@ -411,10 +411,20 @@
 		relay->next_request = ts_add_ms(relay->now, REQUEST_RETRY_MS);
 }
 
+/* Fetches from the store what the reader has and the page does not carry. */
+static void fetch_lacking(struct relay *relay, const peer_view_page *page)
+{
+	struct upstream *up = relay->opts.upstream;
+
+	for (int i = 0; i < CONTROL_KINDS; i++) {
+		if (view_lacks(relay->opts.control_state, page, (enum control_kind)i))
+			up->ops->fetch(up, (enum control_kind)i);
+	}
+}
+
 static void handle_page(struct relay *relay, const peer_view_page *page)
 {
 	struct control_state *cs = relay->opts.control_state;
-	struct upstream *up = relay->opts.upstream;
 	enum view_result res;
 
 	if (page->reader & PEER_READER_STOPPING) {
@@ -441,10 +451,8 @@
 		handle_reader_store_loss(relay);
 	else if (res == VIEW_COMPLETE)
 		finish_update(relay, page);
-	for (int i = 0; relay->upstream_paused && i < CONTROL_KINDS; i++) {
-		if (view_lacks(cs, page, (enum control_kind)i))
-			up->ops->fetch(up, (enum control_kind)i);
-	}
+	if (relay->upstream_paused)
+		fetch_lacking(relay, page);
 	/* Counted from the latest request, so that pages do not postpone the next one. */
 	if (relay->role == RELAY_FOLLOWING)
 		relay->next_request = ts_add_ms(relay->last_request, REQUEST_INTERVAL_MS);
