--- a/t/test-edge.c
+++ b/t/test-edge.c
@@ -49,6 +49,11 @@
 	{ "pauses",
 	  "--seconds 20 --net 18 --callers 120 --faults --seed 1 --pause 3300 --only pause-all",
 	  NULL },
+	/* Soak seeds 9009, 9033: the first part of a list confirmed the targets of the others. */
+	{ "pauses-and-lost-history",
+	  "--seconds 22 --net 33 --callers 80 --faults --seed 3 "
+	  "--only pause-all,store-forgets,target-release",
+	  NULL },
 	{ "pauses-without-confirmation",
 	  "--seconds 20 --net 17 --callers 120 --faults --seed 1 --pause 3300 --only pause-all "
 	  "--confirm 0",
--- a/t/test-listing.c
+++ b/t/test-listing.c
@@ -374,6 +374,42 @@
 	teardown(&fix);
 }
 
+/*
+ * Guards against the first part of a list counting as the whole list: an instance that was
+ * suspended would take its old data about the targets of the other parts for confirmed.
+ */
+static void test_current(void)
+{
+	static const struct {
+		const char *answer;
+		bool current;
+	} steps[] = {
+		{ PART("10", "true", TARGET("1", "4", "ready")), false },
+		{ PART("10", "true", TARGET("2", "5", "ready")), false },
+		{ PART("12", "false", TARGET("3", "6", "ready")), false },
+		{ EVENTS("11", PUT(TARGET("1", "11", "draining"))), false },
+		{ EVENTS("12", PUT(TARGET("2", "12", "draining"))), true },
+		{ EVENTS("14", GONE(TARGET("3", "13", "ready"))), true },
+	};
+	struct fixture fix;
+	struct listing *ls;
+
+	setup(&fix);
+	ls = reports_listing(&fix.reports, CONTROL_TARGETS);
+	g_assert_false(listing_is_current(ls));
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		json_object *answer = listing_parse(ls, steps[i].answer, strlen(steps[i].answer));
+		bool changed;
+
+		g_assert_null(listing_apply(ls, answer, true, &changed));
+		g_assert_true(listing_is_current(ls) == steps[i].current);
+		json_object_put(answer);
+	}
+	listing_restart(ls);
+	g_assert_false(listing_is_current(ls));
+	teardown(&fix);
+}
+
 /* Guards against a withdrawal without a name, which made the snapshot invalid as a whole. */
 static void test_unnamed_withdrawal(void)
 {
@@ -516,6 +552,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/listing/reborn-once", test_reborn_once);
+	g_test_add_func("/listing/current", test_current);
 	g_test_add_func("/listing/unnamed-withdrawal", test_unnamed_withdrawal);
 	g_test_add_func("/listing/paths", test_paths);
 	g_test_add_func("/listing/memory", test_memory);
