--- a/view.c
+++ b/view.c
@@ -4,7 +4,7 @@
 
 #include "timeutil.h"
 
-/* With names of up to 16 bytes such a page fits a datagram of 1,280 bytes. */
+/* With identifiers of up to 16 bytes and few names such a page fits a datagram of 1,280 bytes. */
 #define PAGE_TARGETS 14
 /* Sizes of an encoded page without names and targets, and of a target without its identifier. */
 #define PAGE_FIXED_BYTES   76
