suspicion: take refusals of a full target for no sign of death

Cause: a target whose queue is full refuses connections like one whose process has ended, and two refused rounds 100 ms apart declared it dead. Its requests wait in the queue meanwhile, so no flow of the instance sees an answer for some 200 ms. Change: after a rejection by a target of the service in the last 2 s, a target that refuses is dead only after 2 s without an answer; it gets no openings meanwhile, and is probed every 250 ms by one connection. Targets that time out, and refusals without a rejection, are handled as before, so a silent target is left as quickly as before. Ruled out: the error of connect(), which is the same for both; the related check of "run" (health.c) goes by HTTP answers and has no such rule. Two of the three new cases fail before.

--- a/steer-internal.h
+++ b/steer-internal.h
@@ -63,7 +63,8 @@
 	bool log_target_changes;
 	bool store_lost;
 	struct timespec others_verified_at;
-	GHashTable *latest_deaths; /* data centre symbol to struct timespec */
+	GHashTable *latest_deaths;     /* data centre symbol to struct timespec */
+	GHashTable *latest_rejections; /* service symbol to struct timespec */
 	struct histogram accept_times;
 	struct histogram target_list_ages;
 };
@@ -125,6 +126,8 @@
  */
 void suspicion_note_stall(struct steer *st, struct reg_target *tgt, struct timespec since,
 			  struct timespec now);
+/* The target has rejected a request: targets of its service may be full. */
+void suspicion_note_rejection(struct steer *st, const struct reg_target *tgt, struct timespec now);
 /*
  * A flow that was unknown to this instance sends data to the target: verifies the target at once if
  * another target of its data centre has died since its last sign of life.
--- a/steer.c
+++ b/steer.c
@@ -405,6 +405,8 @@
 					  ts_diff_ms(now, flow->unanswered_since), now);
 		else
 			flow->seq_end = pkt->seq;
+		if (flow->busy && flow->has_ack && pkt->ack - flow->ack < SHORT_ANSWER_BYTES)
+			suspicion_note_rejection(st, flow->target, now);
 		flow->has_ack = true;
 		flow->ack = pkt->ack;
 		steer_flow_set_busy(flow, false);
@@ -610,6 +612,7 @@
 	st->opts = *opts;
 	st->untrusted = g_ptr_array_new();
 	st->latest_deaths = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	st->latest_rejections = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	st->listener.changed = target_changed;
 	for (size_t i = 0; i < FLOW_STATES; i++)
 		g_queue_init(&st->by_state[i]);
@@ -635,6 +638,7 @@
 	g_hash_table_unref(st->flows);
 	g_ptr_array_unref(st->untrusted);
 	g_hash_table_unref(st->latest_deaths);
+	g_hash_table_unref(st->latest_rejections);
 	g_free(st);
 }
 
--- a/suspicion.c
+++ b/suspicion.c
@@ -16,6 +16,17 @@
  * independent evidence, and a round that times out takes as long.
  */
 #define PROBE_ROUND_INTERVAL_MS 100
+/*
+ * A target whose queue is full refuses connections like one whose process has ended. After a
+ * rejection by any target of its service in the last REJECTION_EFFECT_MS, a target that refuses is
+ * therefore dead only when it has answered no flow here for REFUSED_SILENT_MS: a full target
+ * answers after the wait in its queue and the longest request, some 1.6 s. It gets no openings
+ * meanwhile.
+ */
+#define REJECTION_EFFECT_MS 2000
+#define REFUSED_SILENT_MS   2000
+/* Interval of probes of such a target: each connection costs it processor time. */
+#define REFUSED_PROBE_INTERVAL_MS 250
 /* Minimum time between two verifications of all other targets. */
 #define VERIFY_OTHERS_INTERVAL_MS 1000
 /* A target with a sign of life this recently needs no verification. */
@@ -188,21 +199,57 @@
 	       ts_diff_ms(now, tgt->suspected) < ADDRESS_REUSE_MS;
 }
 
+void suspicion_note_rejection(struct steer *st, const struct reg_target *tgt, struct timespec now)
+{
+	g_hash_table_insert(st->latest_rejections, GUINT_TO_POINTER(tgt->service),
+			    g_memdup2(&now, sizeof(now)));
+}
+
+/* Whether a target that refuses connections may only be full. */
+static bool may_be_full(const struct steer *st, const struct reg_target *tgt, struct timespec now)
+{
+	const struct timespec *rejection =
+		g_hash_table_lookup(st->latest_rejections, GUINT_TO_POINTER(tgt->service));
+	int64_t silent_ms = target_silent_ms(tgt, now);
+
+	if (!rejection || ts_diff_ms(now, *rejection) >= REJECTION_EFFECT_MS)
+		return false;
+	/* Without a sign of life here, the silence is counted from the suspicion. */
+	if (silent_ms < 0)
+		silent_ms = ts_diff_ms(now, tgt->suspected);
+	return silent_ms < REFUSED_SILENT_MS;
+}
+
+/* Whether the failed rounds of a suspected target show that it is dead. */
+static bool rounds_prove_dead(const struct steer *st, const struct reg_target *tgt,
+			      struct timespec now)
+{
+	if (!tgt->probe_refused)
+		return true;
+	return tgt->rounds_failed >= DEAD_REFUSED_ROUNDS && !may_be_full(st, tgt, now);
+}
+
 /* All probes of a round have failed. */
 static void round_failed(struct steer *st, struct reg_target *tgt, struct timespec now)
 {
 	/* A single probe may fail because of a lost packet. */
-	if (tgt->trust == TRUST_SUSPECTED && tgt->round_size < PROBES_PER_ROUND) {
+	if (tgt->trust == TRUST_SUSPECTED && tgt->round_size < PROBES_PER_ROUND &&
+	    (!tgt->probe_refused || tgt->rounds_failed < DEAD_REFUSED_ROUNDS)) {
 		start_round(st, tgt, PROBES_PER_ROUND, now);
 		return;
 	}
 	tgt->rounds_failed++;
 	steer_move_openings(st, tgt, now);
-	if (tgt->trust == TRUST_SUSPECTED &&
-	    (!tgt->probe_refused || tgt->rounds_failed >= DEAD_REFUSED_ROUNDS))
+	if (tgt->trust == TRUST_SUSPECTED && rounds_prove_dead(st, tgt, now))
 		set_dead(st, tgt, now);
 	if (tgt->trust == TRUST_DEAD)
 		tgt->next_probe = ts_add_ms(now, DEAD_PROBE_INTERVAL_MS);
+	else if (tgt->rounds_failed == DEAD_REFUSED_ROUNDS)
+		decision_log(DECISION_TARGET, now,
+			     "target=%s belief=suspected why=may_be_full silent_ms=%lld flows=%u",
+			     tgt->id->str, (long long)target_silent_ms(tgt, now), tgt->open_flows);
+	if (tgt->trust == TRUST_SUSPECTED && tgt->rounds_failed >= DEAD_REFUSED_ROUNDS)
+		tgt->next_probe = ts_add_ms(now, REFUSED_PROBE_INTERVAL_MS);
 }
 
 void steer_probe_done(struct steer *st, struct reg_target *tgt, enum probe_result result,
@@ -248,6 +295,13 @@
 	return tgt->phase == TARGET_GONE && !tgt->open_flows;
 }
 
+static unsigned int probes_of_round(const struct reg_target *tgt)
+{
+	return tgt->trust == TRUST_DEAD || tgt->rounds_failed >= DEAD_REFUSED_ROUNDS
+		       ? 1
+		       : PROBES_PER_ROUND;
+}
+
 void suspicion_timer(struct steer *st, struct timespec now)
 {
 	for (guint i = st->untrusted->len; i-- > 0;) {
@@ -258,6 +312,6 @@
 		if (verification_done(tgt))
 			clear_suspicion(st, tgt);
 		else
-			start_round(st, tgt, tgt->trust == TRUST_DEAD ? 1 : PROBES_PER_ROUND, now);
+			start_round(st, tgt, probes_of_round(tgt), now);
 	}
 }
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -398,6 +398,14 @@
 	run_script_bound(data, NULL);
 }
 
+/* i-b rejects a request, then i-a does not answer one and is suspected. */
+#define REJECTION_THEN_STALL                                                                       \
+	"target i-a web home\ntarget i-b web home\nconfig 1 443=web:1\n"                           \
+	"pkt c1 443 mark=i-a len=50 => forward i-a\n"                                              \
+	"pkt c2 443 mark=i-b len=50 => forward i-b\n"                                              \
+	"pkt c2 443 mark=i-b seq=151 ack=701 => forward i-b\n"                                     \
+	"wait 200\n"                                                                               \
+	"pkt c1 443 mark=i-a len=50 => probe i-a, forward i-a\n"
 #define ONE_TARGET                                                                                 \
 	"target i-a web home\n"                                                                    \
 	"config 1 443=web:1\n"
@@ -641,6 +649,41 @@
 		     "wait 99\n"
 		     "wait 1 => probe i-a\n"
 		     "probe i-a refused => reset c1\n" },
+	/*
+	 * A target whose queue is full refuses connections like one whose process has ended. Guards
+	 * against resetting the flows of a living one.
+	 */
+	{ "dead/refusals-of-a-full-target-prove-nothing",
+	  REJECTION_THEN_STALL "probe i-a refused\n"
+			       "wait 100 => probe i-a\n"
+			       "probe i-a refused\n"
+			       "wait 250 => probe i-a\n"
+			       "probe i-a refused\n"
+			       "syn c3 443 => forward i-b\npkt c3 443 mark=i-b => forward i-b\n"
+			       "pkt c1 443 mark=i-a seq=151 ack=2501 => forward i-a\n"
+			       "wait 300\n" },
+	/* Without a rejection, a refusal in two rounds is as good a sign of death as before. */
+	{ "dead/refusals-without-a-rejection",
+	  "target i-a web home\ntarget i-b web home\nconfig 1 443=web:1\n"
+	  "pkt c1 443 mark=i-a len=50 => forward i-a\n"
+	  "wait 200\n"
+	  "pkt c1 443 mark=i-a len=50 => probe i-a, forward i-a\n"
+	  "probe i-a refused\n"
+	  "wait 100 => probe i-a\n"
+	  "probe i-a refused => reset c1\n" },
+	/* Guards against keeping the flows of an ended process for as long as others reject. */
+	{ "dead/refuses-and-stays-silent", REJECTION_THEN_STALL
+	  "probe i-a refused\nwait 100 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "pkt c2 443 mark=i-b seq=151 ack=701 len=50 => forward i-b\n"
+	  "pkt c2 443 mark=i-b seq=201 ack=901 => forward i-b\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused\n"
+	  "wait 250 => probe i-a\nprobe i-a refused => reset c1, probe i-b\n" },
 	{ "dead/answers-again", ONE_TARGET "syn c1 443 => forward i-a\n"
 					   "wait 50 => probe i-a\n"
 					   "wait 100\n"
@@ -862,7 +905,7 @@
 	  "pkt c2 443 mark=i-a => forward i-a\n"
 	  "pkt c9 443 mark=i-a => forward i-a\n"
 	  "pkt c8 443 mark=i-a => forward i-a\n"
-	  "syn c3 443 => forward i-b\n" },
+	  "syn c3 443 => forward i-b\npkt c3 443 mark=i-b => forward i-b\n" },
 	{ "place/two-choices-agree-on-two-instances",
 	  THREE_TARGETS "syn c1 443 => forward $1\nrestart\n" THREE_TARGETS
 			"syn c1 443 => forward $1\n"
