--- a/credit/allocator.c
+++ b/credit/allocator.c
@@ -10,6 +10,14 @@
 /* Weight of past deficits; without them the remainder of the division stays with its holders. */
 #define PAST_DECAY  0.9
 #define PAST_WEIGHT 0.3
+/*
+ * By how many credits another member's deficit must be larger for a credit to move at the end of
+ * its tenure. A credit that moves under scarcity is in use twice while grants are old.
+ */
+#define KEEP_MARGIN	   0.5
+#define KEEP_MARGIN_SCARCE 1.5
+/* Sums of the excess load of targets cover about 12 s, at four rounds a second. */
+#define EXCESS_DECAY 0.98
 /* An idle member can serve its first openings at once. */
 #define IDLE_FLOOR 0.03
 /* Lower priorities are not starved when the important ones need all slots. */
@@ -43,6 +51,7 @@
 	double held[KINDS];
 	double past[KINDS]; /* decayed sum of the deficits of past rounds */
 	double rank;
+	size_t pos;	 /* in the heap */
 	GArray *entries; /* struct credit_entry */
 };
 
@@ -60,12 +69,15 @@
 	uint32_t capacity_permille;
 	bool cold_limited;
 	bool lent;
+	double load;		/* expected in this round, for each slot and by speed */
+	double excess;		/* decayed sum of the load beyond the mean of the targets */
 	GArray *credits[KINDS]; /* struct credit */
 };
 
 /* A credit to be given in this round. */
 struct free_credit {
 	struct pool *pool;
+	struct holder *previous;
 	uint32_t index;
 };
 
@@ -81,6 +93,7 @@
 	uint32_t round;
 	int64_t now_ms;
 	int64_t shortage_milli;
+	double spare; /* slots that neither members nor borrowers need */
 };
 
 static void free_holder(void *arg)
@@ -279,22 +292,43 @@
 	return CLAMP(most > slots ? most - slots : 0, slots, slots * QUEUE_PER_SLOT);
 }
 
+/*
+ * A target's part of the queue credits is in proportion to its speed: a place in the queue of a
+ * slow target costs its request more time.
+ */
+static uint32_t queue_credits(const struct pool *pool, double per_unit)
+{
+	double nr = pool->slots * pool->speed_permille * per_unit;
+
+	if (pool->cold_limited || pool->lent)
+		return 0;
+	nr = CLAMP(nr, 1, (double)pool->slots * QUEUE_PER_SLOT);
+	return (uint32_t)(round(nr) * pool->capacity_permille / 1000);
+}
+
+/*
+ * Queue credits grow by one a target and round: when half of the targets die, the others would get
+ * twice as many at the moment at which all members send them the requests of the dead ones.
+ */
 static void resize_targets(struct allocator *al)
 {
 	uint64_t slots = 0;
-	uint64_t queue;
+	double units = 0;
 
-	for (size_t i = 0; i < al->targets->len; i++)
-		slots += ((struct pool *)al->targets->pdata[i])->slots;
-	queue = queue_credits_total(al, slots);
+	for (size_t i = 0; i < al->targets->len; i++) {
+		const struct pool *pool = al->targets->pdata[i];
+
+		slots += pool->slots;
+		units += (double)pool->slots * pool->speed_permille;
+	}
 	for (size_t i = 0; i < al->targets->len; i++) {
 		struct pool *pool = al->targets->pdata[i];
-		uint64_t nr = (pool->slots * queue + slots / 2) / slots;
+		double per_unit = (double)queue_credits_total(al, slots) / units;
+		uint32_t queue;
 
 		resize_credits(pool, KIND_SLOT, slot_credits(pool));
-		if (pool->cold_limited || pool->lent)
-			nr = 0;
-		resize_credits(pool, KIND_QUEUE, (uint32_t)(nr * pool->capacity_permille / 1000));
+		queue = queue_credits(pool, per_unit);
+		resize_credits(pool, KIND_QUEUE, MIN(queue, pool->credits[KIND_QUEUE]->len + 1));
 	}
 }
 
@@ -371,16 +405,21 @@
 	double high;
 	double low;
 	double share = 1;
+	double lent;
 
 	for (enum credit_kind kind = 0; kind < KINDS; kind++)
 		total[kind] = sum_credits(al, kind, false);
 	sum_demand(al, &high, &low);
 	al->shortage_milli = 0;
+	al->spare = 0;
 	/* Demand is unknown while the service time is: nothing is lent or borrowed. */
 	if (round->service_time_us || high + low <= 0) {
 		al->shortage_milli = (int64_t)(high + low - own);
 		share = lower_share(total[KIND_SLOT], high, low);
-		total[KIND_SLOT] -= share_surplus(al, own - high - low);
+		al->spare = own - high - low;
+		lent = share_surplus(al, al->spare);
+		al->spare -= lent;
+		total[KIND_SLOT] -= lent;
 	}
 	weigh_members(al, share, high + share * low);
 	for (size_t i = 0; i < al->members->len; i++)
@@ -424,8 +463,8 @@
 
 static void release(struct allocator *al, struct pool *pool, enum credit_kind kind, uint32_t index)
 {
-	struct free_credit fc = { .pool = pool, .index = index };
 	struct credit *credit = credit_at(pool, kind, index);
+	struct free_credit fc = { .pool = pool, .previous = credit->holder, .index = index };
 
 	if (credit->holder)
 		credit->holder->held[kind] -= pool->speed_permille;
@@ -482,13 +521,22 @@
 static void set_rank(struct holder *holder, enum credit_kind kind)
 {
 	holder->rank = holder->share[kind] - holder->held[kind] + PAST_WEIGHT * holder->past[kind];
+	/* Queue credits go first to members that have fewer slots than their share. */
+	if (kind == KIND_QUEUE)
+		holder->rank += holder->share[KIND_SLOT] - holder->held[KIND_SLOT];
+}
+
+static void set_heap(GPtrArray *heap, size_t pos, struct holder *holder)
+{
+	heap->pdata[pos] = holder;
+	holder->pos = pos;
 }
 
 static void sift_down(GPtrArray *heap, size_t pos)
 {
 	for (;;) {
 		size_t best = pos;
-		void *tmp = heap->pdata[pos];
+		struct holder *moved = heap->pdata[pos];
 
 		for (size_t child = 2 * pos + 1; child <= 2 * pos + 2 && child < heap->len; child++)
 			if (((struct holder *)heap->pdata[child])->rank >
@@ -496,8 +544,8 @@
 				best = child;
 		if (best == pos)
 			return;
-		heap->pdata[pos] = heap->pdata[best];
-		heap->pdata[best] = tmp;
+		set_heap(heap, pos, heap->pdata[best]);
+		set_heap(heap, best, moved);
 		pos = best;
 	}
 }
@@ -507,7 +555,8 @@
 	g_ptr_array_set_size(al->heap, 0);
 	for (size_t i = 0; i < al->members->len; i++) {
 		set_rank(al->members->pdata[i], kind);
-		g_ptr_array_add(al->heap, al->members->pdata[i]);
+		g_ptr_array_add(al->heap, NULL);
+		set_heap(al->heap, i, al->members->pdata[i]);
 	}
 	for (size_t i = al->heap->len / 2; i-- > 0;)
 		sift_down(al->heap, i);
@@ -515,7 +564,15 @@
 		set_rank(al->borrowers->pdata[i], kind);
 }
 
-/* The borrower with the largest deficit that the credit does not take beyond its share. */
+/* Whether a borrower may hold one more credit of this target within its share. */
+static bool fits_borrower(const struct holder *holder, const struct pool *pool,
+			  enum credit_kind kind)
+{
+	return may_hold(holder, pool, kind) &&
+	       holder->held[kind] + pool->speed_permille <= holder->share[kind];
+}
+
+/* The borrower with the largest deficit that can have the credit. */
 static struct holder *first_borrower(const struct allocator *al, const struct pool *pool,
 				     enum credit_kind kind)
 {
@@ -524,30 +581,60 @@
 	for (size_t i = 0; i < al->borrowers->len; i++) {
 		struct holder *holder = al->borrowers->pdata[i];
 
-		if (may_hold(holder, pool, kind) &&
-		    holder->held[kind] + pool->speed_permille <= holder->share[kind] &&
-		    (!best || holder->rank > best->rank))
+		if (fits_borrower(holder, pool, kind) && (!best || holder->rank > best->rank))
 			best = holder;
 	}
 	return best;
 }
 
-static void give(struct allocator *al, const struct free_credit *fc, enum credit_kind kind)
+/* Who gets a credit: its previous holder unless another one's deficit is larger by the margin. */
+static struct holder *next_holder(const struct allocator *al, const struct free_credit *fc,
+				  enum credit_kind kind)
 {
-	struct holder *holder = al->heap->len ? al->heap->pdata[0] : NULL;
+	double margin = al->shortage_milli > 0 ? KEEP_MARGIN_SCARCE : KEEP_MARGIN;
+	struct holder *first = al->heap->len ? al->heap->pdata[0] : NULL;
 	struct holder *borrower = first_borrower(al, fc->pool, kind);
+	struct holder *previous = fc->previous;
+
+	if (borrower && (!first || borrower->rank > first->rank))
+		first = borrower;
+	if (previous && previous->borrower && !fits_borrower(previous, fc->pool, kind))
+		previous = NULL;
+	if (first && previous && first->rank - previous->rank < fc->pool->speed_permille * margin)
+		return previous;
+	return first;
+}
+
+/*
+ * A slot credit of a target that had more load than the mean goes to nobody while slots are to
+ * spare. Members with a single credit send all their openings to its target, whatever its speed:
+ * with one slot for each member and speeds of 0.55 and 1.2, the slow targets had 1.2 times the
+ * mean load.
+ */
+static bool is_left_free(struct allocator *al, const struct pool *pool)
+{
+	if (pool->excess <= 0 || pool->lent || pool->cold_limited ||
+	    pool->capacity_permille < 1000 || al->spare < pool->speed_permille)
+		return false;
+	al->spare -= pool->speed_permille;
+	return true;
+}
+
+static void give(struct allocator *al, const struct free_credit *fc, enum credit_kind kind)
+{
+	struct holder *holder = next_holder(al, fc, kind);
 	struct credit *credit = credit_at(fc->pool, kind, fc->index);
 
-	if (borrower && (!holder || borrower->rank > holder->rank))
-		holder = borrower;
 	if (!holder)
 		return;
+	if (kind == KIND_SLOT && !holder->borrower && is_left_free(al, fc->pool))
+		return;
 	credit->holder = holder;
 	credit->until_ms = al->now_ms + TENURE_MIN_MS + random_below(al->random, TENURE_SPREAD_MS);
 	holder->held[kind] += fc->pool->speed_permille;
 	set_rank(holder, kind);
 	if (!holder->borrower)
-		sift_down(al->heap, 0);
+		sift_down(al->heap, holder->pos);
 }
 
 static void note_deficits(const GPtrArray *holders, enum credit_kind kind)
@@ -560,6 +647,41 @@
 	}
 }
 
+/* A member spreads its openings over its slot credits by speed, or over its queue credits. */
+static double expected_load(const struct pool *pool)
+{
+	double load = 0;
+
+	for (enum credit_kind kind = 0; kind < KINDS; kind++) {
+		for (uint32_t i = 0; i < pool->credits[kind]->len; i++) {
+			const struct holder *holder = credit_at(pool, kind, i)->holder;
+
+			if (holder && !holder->borrower &&
+			    (kind == KIND_SLOT || holder->held[KIND_SLOT] <= 0))
+				load += holder->weight / holder->held[kind];
+		}
+	}
+	return load / pool->slots;
+}
+
+static void note_loads(struct allocator *al)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < al->targets->len; i++) {
+		struct pool *pool = al->targets->pdata[i];
+
+		pool->load = expected_load(pool);
+		sum += pool->load;
+	}
+	for (size_t i = 0; i < al->targets->len && sum > 0; i++) {
+		struct pool *pool = al->targets->pdata[i];
+
+		pool->excess =
+			EXCESS_DECAY * pool->excess + pool->load * al->targets->len / sum - 1;
+	}
+}
+
 static void divide(struct allocator *al, enum credit_kind kind)
 {
 	g_array_set_size(al->released, 0);
@@ -621,6 +743,7 @@
 	set_shares(al, round);
 	for (enum credit_kind kind = 0; kind < KINDS; kind++)
 		divide(al, kind);
+	note_loads(al);
 	build_entries(al);
 }
 
--- /dev/null
+++ b/t/creditsim.h
@@ -0,0 +1,546 @@
+/*
+ * Simulation of instances that share targets by credits, without a network: callers that try three
+ * times, instances that hold credits by old grants, and targets with two slots and a queue. The
+ * holder's side is simplified: an opening takes an own slot by weighted round robin, then a queue
+ * credit, and waits otherwise, by priority.
+ */
+#ifndef CREDITSIM_H
+#define CREDITSIM_H
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "credit/allocator.h"
+#include "credit/monitor.h"
+#include "timeutil.h"
+
+#define SIM_INSTANCES	200
+#define SIM_TARGETS	100
+#define SIM_SLOTS	2
+#define SIM_QUEUE	8
+#define SIM_INTERVAL_MS 250
+#define SIM_WORK_MS	100 /* at speed 1, half as long to half as long again */
+#define SIM_GOAL_MS	500
+#define SIM_COUNT_MS	50 /* credits returned are counted by this time */
+#define SIM_TRIES	3
+#define SIM_BACKOFF_MS	20
+#define SIM_SERVICE	7
+#define SIM_HORIZON_MS	4096
+#define SIM_CLASSES	2 /* of priority 1 and 2 */
+/* Mean of a quarter at 0.55 and the rest at 1.2. */
+#define SIM_CAPACITY_PER_S                                                                         \
+	((0.25 * 0.55 + 0.75 * 1.2) * SIM_TARGETS * SIM_SLOTS * MSEC_PER_SEC / SIM_WORK_MS)
+
+struct sim_request {
+	uint32_t class;
+	uint32_t tries;
+	uint32_t instance;
+	uint32_t target;
+	int64_t first_ms;
+	int64_t since_ms; /* waits at the instance, or sent to the target */
+	bool counted;
+};
+
+struct sim_grant {
+	int64_t due_ms;
+	GArray *entries; /* struct credit_entry */
+};
+
+struct sim_instance {
+	int64_t lag_ms;
+	GQueue grants; /* struct sim_grant */
+	GArray *entries;
+	uint32_t in_use[SIM_TARGETS];
+	double vtime[SIM_TARGETS];
+	GQueue waiting[SIM_CLASSES];			    /* struct sim_request */
+	uint32_t returned[MSEC_PER_SEC / SIM_COUNT_MS + 1]; /* in the last second */
+	uint32_t openings[SIM_CLASSES];			    /* since the last report */
+	double rate[SIM_CLASSES];			    /* per second, averaged */
+	struct credit_observation seen[SIM_TARGETS];
+};
+
+struct sim_target {
+	double speed;
+	bool dead;
+	uint32_t running;
+	GQueue queue; /* struct sim_request */
+	uint32_t arrived;
+};
+
+struct sim_class {
+	uint64_t requests; /* that ended */
+	uint64_t in_time;
+	uint64_t served;
+	int64_t last_ms; /* latest answer */
+	int64_t gap_ms;	 /* longest time without an answer */
+};
+
+struct creditsim {
+	struct seeded_random random;
+	struct allocator *al;
+	struct monitor *mon;
+	struct sim_instance inst[SIM_INSTANCES];
+	struct sim_target targets[SIM_TARGETS];
+	GPtrArray *ends[SIM_HORIZON_MS];    /* requests whose work ends at that time */
+	GPtrArray *retries[SIM_HORIZON_MS]; /* requests that are tried again at that time */
+	double rate[SIM_CLASSES];	    /* arrivals for each millisecond */
+	double next[SIM_CLASSES];	    /* time of the next arrival */
+	int64_t now_ms;
+	bool counting;
+	bool same_lag; /* all grants are 200 ms old */
+	struct sim_class classes[SIM_CLASSES];
+	uint64_t arrived, rejected;
+};
+
+static double sim_uniform(struct creditsim *sim)
+{
+	return (random_below(&sim->random.random, 1u << 30) + 0.5) / (1u << 30);
+}
+
+static uint64_t sim_key(uint32_t target)
+{
+	return (uint64_t)target + 1;
+}
+
+static struct timespec sim_now(const struct creditsim *sim)
+{
+	return ts_from_ms(1000000 + sim->now_ms);
+}
+
+static struct creditsim *creditsim_new(uint64_t seed)
+{
+	struct creditsim *sim = g_new0(struct creditsim, 1);
+
+	seeded_random_init(&sim->random, seed);
+	sim->al = allocator_new(&sim->random.random);
+	sim->mon = monitor_new();
+	for (uint32_t i = 0; i < SIM_INSTANCES; i++) {
+		sim->inst[i].lag_ms = 200 + random_below(&sim->random.random, 1801);
+		sim->inst[i].entries = g_array_new(FALSE, FALSE, sizeof(struct credit_entry));
+	}
+	for (uint32_t t = 0; t < SIM_TARGETS; t++)
+		sim->targets[t].speed = t % 4 ? 1.2 : 0.55;
+	for (size_t i = 0; i < SIM_HORIZON_MS; i++) {
+		sim->ends[i] = g_ptr_array_new_with_free_func(g_free);
+		sim->retries[i] = g_ptr_array_new_with_free_func(g_free);
+	}
+	return sim;
+}
+
+static void sim_free_grant(void *arg)
+{
+	struct sim_grant *grant = arg;
+
+	g_array_unref(grant->entries);
+	g_free(grant);
+}
+
+static void creditsim_free(struct creditsim *sim)
+{
+	for (uint32_t i = 0; i < SIM_INSTANCES; i++) {
+		g_queue_clear_full(&sim->inst[i].grants, sim_free_grant);
+		for (size_t c = 0; c < SIM_CLASSES; c++)
+			g_queue_clear_full(&sim->inst[i].waiting[c], g_free);
+		g_array_unref(sim->inst[i].entries);
+	}
+	for (uint32_t t = 0; t < SIM_TARGETS; t++)
+		g_queue_clear_full(&sim->targets[t].queue, g_free);
+	for (size_t i = 0; i < SIM_HORIZON_MS; i++) {
+		g_ptr_array_unref(sim->ends[i]);
+		g_ptr_array_unref(sim->retries[i]);
+	}
+	allocator_free(sim->al);
+	monitor_free(sim->mon);
+	g_free(sim);
+}
+
+static void sim_at(const struct creditsim *sim, GPtrArray **wheel, int64_t delay_ms,
+		   struct sim_request *req)
+{
+	g_assert_cmpint(delay_ms, <, SIM_HORIZON_MS);
+	g_ptr_array_add(wheel[(sim->now_ms + MAX(delay_ms, 1)) % SIM_HORIZON_MS], req);
+}
+
+static void sim_end_request(struct creditsim *sim, struct sim_request *req, bool served)
+{
+	struct sim_class *cls = &sim->classes[req->class];
+
+	if (served) {
+		cls->gap_ms = MAX(cls->gap_ms, sim->now_ms - cls->last_ms);
+		cls->last_ms = sim->now_ms;
+	}
+	if (req->counted) {
+		cls->requests++;
+		cls->served += served;
+		cls->in_time += served && sim->now_ms - req->first_ms <= SIM_GOAL_MS;
+	}
+	g_free(req);
+}
+
+static void sim_retry(struct creditsim *sim, struct sim_request *req)
+{
+	if (++req->tries == SIM_TRIES)
+		sim_end_request(sim, req, false);
+	else
+		sim_at(sim, sim->retries, SIM_BACKOFF_MS, req);
+}
+
+static void sim_start_work(struct creditsim *sim, uint32_t target, struct sim_request *req)
+{
+	sim->targets[target].running++;
+	sim_at(sim, sim->ends,
+	       (int64_t)(SIM_WORK_MS * (0.5 + sim_uniform(sim)) / sim->targets[target].speed), req);
+}
+
+/* The credit of the request is free again. */
+static void sim_return(struct creditsim *sim, const struct sim_request *req)
+{
+	struct sim_instance *inst = &sim->inst[req->instance];
+
+	inst->in_use[req->target]--;
+	inst->returned[sim->now_ms / SIM_COUNT_MS % G_N_ELEMENTS(inst->returned)]++;
+	inst->seen[req->target].busy_ms += (uint32_t)(sim->now_ms - req->since_ms);
+}
+
+static void sim_next_count(const struct creditsim *sim, struct sim_instance *inst)
+{
+	inst->returned[sim->now_ms / SIM_COUNT_MS % G_N_ELEMENTS(inst->returned)] = 0;
+}
+
+/* Returns false when the target rejects the request. */
+static bool sim_send(struct creditsim *sim, uint32_t target, struct sim_request *req)
+{
+	struct sim_target *tgt = &sim->targets[target];
+
+	tgt->arrived++;
+	if (sim->counting)
+		sim->arrived++;
+	req->target = target;
+	req->since_ms = sim->now_ms;
+	sim->inst[req->instance].in_use[target]++;
+	if (!tgt->dead && tgt->running < SIM_SLOTS) {
+		sim_start_work(sim, target, req);
+	} else if (tgt->dead || tgt->queue.length < SIM_QUEUE) {
+		g_queue_push_tail(&tgt->queue, req);
+	} else {
+		if (sim->counting)
+			sim->rejected++;
+		sim_return(sim, req);
+		sim->inst[req->instance].seen[target].rejected++;
+		return false;
+	}
+	return true;
+}
+
+static const struct credit_entry *sim_choose(const struct sim_instance *inst)
+{
+	const struct credit_entry *slot = NULL;
+	const struct credit_entry *queue = NULL;
+
+	for (size_t i = 0; i < inst->entries->len; i++) {
+		const struct credit_entry *entry =
+			&g_array_index(inst->entries, struct credit_entry, i);
+		uint32_t target = (uint32_t)entry->target - 1;
+		double vtime = inst->vtime[target];
+
+		if (inst->in_use[target] < entry->slots) {
+			if (!slot || vtime < inst->vtime[slot->target - 1])
+				slot = entry;
+		} else if (inst->in_use[target] < entry->slots + entry->queue) {
+			if (!queue || vtime < inst->vtime[queue->target - 1])
+				queue = entry;
+		}
+	}
+	return slot ? slot : queue;
+}
+
+/* Returns false when no credit is free. */
+static bool sim_place(struct creditsim *sim, struct sim_request *req)
+{
+	struct sim_instance *inst = &sim->inst[req->instance];
+	const struct credit_entry *entry = sim_choose(inst);
+
+	if (!entry)
+		return false;
+	inst->vtime[entry->target - 1] += 1000.0 / entry->speed_permille;
+	if (!sim_send(sim, (uint32_t)entry->target - 1, req))
+		sim_retry(sim, req);
+	return true;
+}
+
+static int64_t sim_limit_ms(uint32_t class)
+{
+	return SIM_GOAL_MS / (class ? 4 : 2);
+}
+
+static void sim_open(struct creditsim *sim, struct sim_request *req)
+{
+	struct sim_instance *inst;
+	uint32_t ahead = 0;
+	uint32_t returned = 0;
+
+	req->instance = random_below(&sim->random.random, SIM_INSTANCES);
+	inst = &sim->inst[req->instance];
+	inst->openings[req->class]++;
+	for (uint32_t c = 0; c <= req->class; c++)
+		ahead += inst->waiting[c].length;
+	if (!ahead && sim_place(sim, req))
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(inst->returned); i++)
+		returned += inst->returned[i];
+	if ((ahead + 1) * MSEC_PER_SEC > returned * sim_limit_ms(req->class)) {
+		sim_retry(sim, req);
+		return;
+	}
+	req->since_ms = sim->now_ms;
+	g_queue_push_tail(&inst->waiting[req->class], req);
+}
+
+static void sim_serve_waiting(struct creditsim *sim, struct sim_instance *inst)
+{
+	for (uint32_t c = 0; c < SIM_CLASSES; c++) {
+		while (inst->waiting[c].length) {
+			struct sim_request *req = g_queue_peek_head(&inst->waiting[c]);
+
+			if (sim->now_ms - req->since_ms > sim_limit_ms(c)) {
+				g_queue_pop_head(&inst->waiting[c]);
+				sim_retry(sim, req);
+				continue;
+			}
+			if (!sim_choose(inst))
+				break;
+			g_queue_pop_head(&inst->waiting[c]);
+			sim_place(sim, req);
+		}
+	}
+}
+
+static void sim_finish(struct creditsim *sim, struct sim_request *req)
+{
+	struct sim_target *tgt = &sim->targets[req->target];
+
+	if (tgt->dead) {
+		/* The answer never comes; the request is moved when its instance learns it. */
+		g_queue_push_tail(&tgt->queue, req);
+		return;
+	}
+	tgt->running--;
+	if (tgt->queue.length)
+		sim_start_work(sim, req->target, g_queue_pop_head(&tgt->queue));
+	sim_return(sim, req);
+	sim->inst[req->instance].seen[req->target].completed++;
+	sim_end_request(sim, req, true);
+}
+
+/* Requests at dead targets go to others when the instance learns of the death. */
+static void sim_abandon(struct creditsim *sim, uint32_t instance)
+{
+	for (uint32_t t = 0; t < SIM_TARGETS; t++) {
+		GQueue *queue = &sim->targets[t].queue;
+
+		if (!sim->targets[t].dead)
+			continue;
+		for (guint nr = queue->length; nr--;) {
+			struct sim_request *req = g_queue_pop_head(queue);
+
+			if (req->instance != instance) {
+				g_queue_push_tail(queue, req);
+				continue;
+			}
+			sim_return(sim, req);
+			sim->inst[instance].seen[t].failed++;
+			sim_at(sim, sim->retries, 0, req);
+		}
+	}
+}
+
+static void sim_apply_grants(struct creditsim *sim, uint32_t instance)
+{
+	struct sim_instance *inst = &sim->inst[instance];
+	struct sim_grant *grant;
+
+	while ((grant = g_queue_peek_head(&inst->grants)) && grant->due_ms <= sim->now_ms) {
+		double least = INFINITY;
+
+		g_queue_pop_head(&inst->grants);
+		for (size_t i = 0; i < inst->entries->len; i++)
+			least = MIN(least,
+				    inst->vtime[g_array_index(inst->entries, struct credit_entry, i)
+							.target -
+						1]);
+		g_array_set_size(inst->entries, 0);
+		g_array_append_vals(inst->entries, grant->entries->data, grant->entries->len);
+		for (size_t i = 0; i < inst->entries->len && least < INFINITY; i++) {
+			uint64_t key = g_array_index(inst->entries, struct credit_entry, i).target;
+
+			inst->vtime[key - 1] = MAX(inst->vtime[key - 1], least);
+		}
+		sim_free_grant(grant);
+		sim_abandon(sim, instance);
+	}
+}
+
+/* Observations of an instance, and the averages of its demand. */
+static void sim_report(struct creditsim *sim, uint32_t instance)
+{
+	struct sim_instance *inst = &sim->inst[instance];
+	double keep = exp(-SIM_INTERVAL_MS / 1000.0);
+
+	for (size_t c = 0; c < SIM_CLASSES; c++) {
+		inst->rate[c] = inst->rate[c] * keep +
+				inst->openings[c] * (1 - keep) * MSEC_PER_SEC / SIM_INTERVAL_MS;
+		inst->openings[c] = 0;
+	}
+	for (uint32_t t = 0; t < SIM_TARGETS; t++) {
+		struct credit_observation *obs = &inst->seen[t];
+
+		obs->target = sim_key(t);
+		obs->dead = sim->targets[t].dead && obs->failed + inst->in_use[t];
+		if (obs->completed || obs->rejected || obs->failed || obs->dead)
+			monitor_add(sim->mon, instance + 1, SIM_SERVICE, obs, sim_now(sim));
+		*obs = (struct credit_observation){ 0 };
+	}
+}
+
+static size_t sim_list_targets(struct creditsim *sim, struct alloc_target *targets)
+{
+	size_t nr = 0;
+
+	for (uint32_t t = 0; t < SIM_TARGETS; t++)
+		targets[t] = (struct alloc_target){ .key = sim_key(t), .slots = SIM_SLOTS };
+	monitor_tick(sim->mon, SIM_SERVICE, targets, SIM_TARGETS, SIM_INTERVAL_MS, sim_now(sim));
+	for (uint32_t t = 0; t < SIM_TARGETS; t++) {
+		struct target_condition cond;
+
+		monitor_get(sim->mon, sim_key(t), sim_now(sim), &cond);
+		if (sim->targets[t].dead)
+			continue;
+		targets[nr] = targets[t];
+		targets[nr].speed_permille = cond.speed_permille;
+		targets[nr++].capacity_permille = cond.capacity_permille;
+	}
+	return nr;
+}
+
+static void sim_round(struct creditsim *sim)
+{
+	struct alloc_target targets[SIM_TARGETS];
+	struct alloc_member members[SIM_INSTANCES] = { 0 };
+	struct alloc_round round = { .targets = targets,
+				     .members = members,
+				     .nr_members = SIM_INSTANCES };
+
+	for (uint32_t i = 0; i < SIM_INSTANCES; i++) {
+		sim_report(sim, i);
+		members[i].id = i + 1;
+		for (size_t c = 0; c < SIM_CLASSES; c++)
+			members[i].openings_milli_per_s[1 + c] =
+				(uint64_t)(sim->inst[i].rate[c] * 1000);
+	}
+	round.nr_targets = sim_list_targets(sim, targets);
+	round.service_time_us = monitor_service_time_us(sim->mon, SIM_SERVICE);
+	round.now = sim_now(sim);
+	allocator_run(sim->al, &round);
+	for (uint32_t i = 0; i < SIM_INSTANCES; i++) {
+		const GArray *entries = allocator_credits(sim->al, i + 1);
+		struct sim_grant *grant = g_new0(struct sim_grant, 1);
+
+		grant->due_ms = sim->now_ms + (sim->same_lag ? 200 : sim->inst[i].lag_ms);
+		grant->entries = g_array_new(FALSE, FALSE, sizeof(struct credit_entry));
+		if (entries)
+			g_array_append_vals(grant->entries, entries->data, entries->len);
+		g_queue_push_tail(&sim->inst[i].grants, grant);
+	}
+}
+
+static void sim_arrivals(struct creditsim *sim)
+{
+	for (uint32_t c = 0; c < SIM_CLASSES; c++) {
+		while (sim->rate[c] > 0 && sim->next[c] <= (double)sim->now_ms) {
+			struct sim_request *req = g_new0(struct sim_request, 1);
+
+			sim->next[c] -= log(sim_uniform(sim)) / sim->rate[c];
+			req->class = c;
+			req->first_ms = sim->now_ms;
+			req->counted = sim->counting;
+			sim_open(sim, req);
+		}
+	}
+}
+
+static void sim_run_wheel(struct creditsim *sim, GPtrArray **wheel,
+			  void (*fn)(struct creditsim *sim, struct sim_request *req))
+{
+	GPtrArray *due = wheel[sim->now_ms % SIM_HORIZON_MS];
+
+	/* The functions add to other times only. */
+	while (due->len)
+		fn(sim, g_ptr_array_steal_index_fast(due, due->len - 1));
+}
+
+/* Loads in times the capacity. */
+static void creditsim_run(struct creditsim *sim, int64_t ms, double important, double lower)
+{
+	const double loads[SIM_CLASSES] = { important, lower };
+
+	for (size_t c = 0; c < SIM_CLASSES; c++) {
+		sim->rate[c] = loads[c] * SIM_CAPACITY_PER_S / MSEC_PER_SEC;
+		sim->next[c] = (double)sim->now_ms;
+	}
+	for (int64_t end = sim->now_ms + ms; sim->now_ms < end; sim->now_ms++) {
+		if (sim->now_ms % SIM_INTERVAL_MS == 0)
+			sim_round(sim);
+		for (uint32_t i = 0; i < SIM_INSTANCES; i++) {
+			if (sim->now_ms % SIM_COUNT_MS == 0)
+				sim_next_count(sim, &sim->inst[i]);
+			sim_apply_grants(sim, i);
+			sim_serve_waiting(sim, &sim->inst[i]);
+		}
+		sim_run_wheel(sim, sim->ends, sim_finish);
+		sim_run_wheel(sim, sim->retries, sim_open);
+		sim_arrivals(sim);
+	}
+}
+
+static void creditsim_count(struct creditsim *sim, bool counting)
+{
+	sim->counting = counting;
+	if (!counting)
+		return;
+	sim->arrived = sim->rejected = 0;
+	memset(sim->classes, 0, sizeof(sim->classes));
+	for (size_t c = 0; c < SIM_CLASSES; c++)
+		sim->classes[c].last_ms = sim->now_ms;
+	for (uint32_t t = 0; t < SIM_TARGETS; t++)
+		sim->targets[t].arrived = 0;
+}
+
+/* Busiest target to the mean, in arrivals by speed. */
+static double creditsim_busiest(const struct creditsim *sim)
+{
+	double most = 0;
+	double sum = 0;
+
+	for (uint32_t t = 0; t < SIM_TARGETS; t++) {
+		double load = sim->targets[t].arrived / sim->targets[t].speed;
+
+		most = MAX(most, load);
+		sum += load;
+	}
+	return sum > 0 ? most / (sum / SIM_TARGETS) : 0;
+}
+
+static double creditsim_in_time(const struct creditsim *sim, uint32_t class)
+{
+	const struct sim_class *cls = &sim->classes[class];
+
+	return cls->requests ? (double)cls->in_time / (double)cls->requests : 1;
+}
+
+static double creditsim_rejected(const struct creditsim *sim)
+{
+	return sim->arrived ? (double)sim->rejected / (double)sim->arrived : 0;
+}
+
+#endif
--- /dev/null
+++ b/t/test-allocator.c
@@ -0,0 +1,624 @@
+/*
+ * Guards against a division of credits that gives members more or less than their share, that
+ * moves credits without need, that starves a class, or that lends what the members need. The
+ * simulation below runs the division with old grants, as instances use it.
+ */
+#include <glib.h>
+#include <math.h>
+#include <sodium.h>
+
+#include "credit/allocator.h"
+#include "creditsim.h"
+#include "timeutil.h"
+
+#define INTERVAL_MS 250
+#define TENURE_MS   1000
+#define MAX_TARGETS 1200
+#define MAX_MEMBERS 500
+#define SERVICE_US  100000 /* 10 openings a second occupy a slot */
+
+struct fixture {
+	struct seeded_random random;
+	struct allocator *al;
+	struct alloc_target targets[MAX_TARGETS];
+	struct alloc_member members[MAX_MEMBERS];
+	struct alloc_round round;
+	int64_t now_ms;
+};
+
+static void fixture_init(struct fixture *fx, size_t nr_targets, size_t nr_members)
+{
+	*fx = (struct fixture){ .now_ms = 1000000 };
+	seeded_random_init(&fx->random, 1);
+	fx->al = allocator_new(&fx->random.random);
+	for (size_t i = 0; i < MAX_TARGETS; i++)
+		fx->targets[i] = (struct alloc_target){ .key = (i + 1) * 0x517cc1b727220a95ULL,
+							.slots = 2,
+							.speed_permille = 1000,
+							.capacity_permille = 1000 };
+	for (uint32_t i = 0; i < MAX_MEMBERS; i++)
+		fx->members[i].id = i + 1;
+	fx->round = (struct alloc_round){
+		.targets = fx->targets,
+		.nr_targets = nr_targets,
+		.members = fx->members,
+		.nr_members = nr_members,
+		.service_time_us = SERVICE_US,
+	};
+}
+
+static void fixture_release(struct fixture *fx)
+{
+	allocator_free(fx->al);
+}
+
+/* Openings a second of priority 1 that occupy @slots. */
+static uint64_t demand_milli(double slots)
+{
+	return (uint64_t)(slots * 1000 * G_USEC_PER_SEC / SERVICE_US);
+}
+
+static void run_round(struct fixture *fx)
+{
+	fx->now_ms += INTERVAL_MS;
+	fx->round.now = ts_from_ms(fx->now_ms);
+	allocator_run(fx->al, &fx->round);
+}
+
+static const struct credit_entry *find_entry(const struct fixture *fx, uint32_t member,
+					     uint64_t target)
+{
+	const GArray *entries = allocator_credits(fx->al, member);
+
+	for (size_t i = 0; entries && i < entries->len; i++) {
+		const struct credit_entry *entry = &g_array_index(entries, struct credit_entry, i);
+
+		if (entry->target == target)
+			return entry;
+	}
+	return NULL;
+}
+
+struct held {
+	uint32_t slots, queue;
+	double slot_units, queue_units;
+};
+
+static struct held sum_held(const struct fixture *fx, uint32_t member)
+{
+	const GArray *entries = allocator_credits(fx->al, member);
+	struct held held = { 0 };
+
+	for (size_t i = 0; entries && i < entries->len; i++) {
+		const struct credit_entry *entry = &g_array_index(entries, struct credit_entry, i);
+
+		held.slots += entry->slots;
+		held.queue += entry->queue;
+		held.slot_units += entry->slots * entry->speed_permille / 1000.0;
+		held.queue_units += entry->queue * entry->speed_permille / 1000.0;
+	}
+	return held;
+}
+
+static struct held sum_target(const struct fixture *fx, uint64_t target)
+{
+	struct held held = { 0 };
+
+	for (uint32_t i = 0; i < MAX_MEMBERS; i++) {
+		const struct credit_entry *entry = find_entry(fx, i + 1, target);
+
+		held.slots += entry ? entry->slots : 0;
+		held.queue += entry ? entry->queue : 0;
+	}
+	return held;
+}
+
+/* Shares are exact on average, and within a credit at any time once turns have begun. */
+static void test_share(void)
+{
+	const struct {
+		size_t nr_targets, nr_members;
+		double demand[8];
+		bool mixed_speeds;
+	} cases[] = {
+		{ 4, 2, { 4, 4 }, false },
+		{ 4, 2, { 6, 2 }, false },
+		{ 12, 8, { 1, 2, 3, 4, 5, 6, 7, 8 }, false },
+		{ 12, 8, { 3, 3, 3, 3, 3, 3, 3, 3 }, true },
+		{ 3, 8, { 1, 1, 1, 1, 1, 1, 1, 1 }, true },
+		{ 40, 5, { 20, 1, 1, 10, 8 }, true },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		const int rounds = 800;
+		struct held mean[8] = { 0 };
+		struct fixture fx;
+		double total = 0;
+		double units = 0;
+
+		fixture_init(&fx, cases[c].nr_targets, cases[c].nr_members);
+		for (size_t t = 0; t < cases[c].nr_targets; t++) {
+			if (cases[c].mixed_speeds)
+				fx.targets[t].speed_permille = t % 4 ? 1200 : 550;
+			units += 2 * fx.targets[t].speed_permille / 1000.0;
+		}
+		for (size_t m = 0; m < cases[c].nr_members; m++) {
+			fx.members[m].openings_milli_per_s[1] = demand_milli(cases[c].demand[m]);
+			total += cases[c].demand[m];
+		}
+		for (int r = 0; r < rounds; r++) {
+			run_round(&fx);
+			for (uint32_t m = 0; m < cases[c].nr_members; m++) {
+				struct held held = sum_held(&fx, m + 1);
+
+				mean[m].slot_units += held.slot_units / rounds;
+				mean[m].queue_units += held.queue_units / rounds;
+			}
+		}
+		for (size_t m = 0; m < cases[c].nr_members; m++) {
+			double share = cases[c].demand[m] / total;
+
+			g_assert_cmpfloat(fabs(mean[m].slot_units / units - share), <=,
+					  0.05 * share);
+			g_assert_cmpfloat(sum_held(&fx, (uint32_t)m + 1).slot_units, <=,
+					  units * share + 2.4);
+		}
+		for (size_t t = 0; t < cases[c].nr_targets; t++) {
+			g_assert_cmpuint(sum_target(&fx, fx.targets[t].key).slots, ==, 2);
+			g_assert_cmpuint(sum_target(&fx, fx.targets[t].key).queue, >=, 2);
+			g_assert_cmpuint(sum_target(&fx, fx.targets[t].key).queue, <=, 6);
+		}
+		fixture_release(&fx);
+	}
+}
+
+/* Credits that lose their holder are in use twice while the old holder's requests end. */
+static void test_sticky(void)
+{
+	const struct {
+		size_t nr_targets, nr_members;
+		uint32_t noise_percent; /* of the demand, in each round */
+		bool mixed_speeds;
+	} cases[] = {
+		{ 120, 60, 0, false }, { 120, 60, 0, true },   { 120, 60, 20, true },
+		{ 100, 200, 0, true }, { 100, 200, 20, true }, { 30, 300, 0, true },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		const int rounds = 400;
+		uint32_t *before = g_new0(uint32_t, cases[c].nr_targets * cases[c].nr_members);
+		uint64_t moved = 0;
+		struct fixture fx;
+
+		fixture_init(&fx, cases[c].nr_targets, cases[c].nr_members);
+		for (size_t t = 0; cases[c].mixed_speeds && t < cases[c].nr_targets; t++)
+			fx.targets[t].speed_permille = t % 4 ? 1200 : 550;
+		for (int r = 0; r <= rounds; r++) {
+			for (uint32_t m = 0; m < cases[c].nr_members; m++)
+				fx.members[m].openings_milli_per_s[1] =
+					demand_milli(1.0 + m % 3) *
+					(100 - cases[c].noise_percent +
+					 random_below(&fx.random.random,
+						      2 * cases[c].noise_percent + 1)) /
+					100;
+			run_round(&fx);
+			for (size_t i = 0; i < cases[c].nr_targets * cases[c].nr_members; i++) {
+				const struct credit_entry *entry =
+					find_entry(&fx, (uint32_t)(i / cases[c].nr_targets) + 1,
+						   fx.targets[i % cases[c].nr_targets].key);
+				uint32_t slots = entry ? entry->slots : 0;
+
+				moved += r && slots < before[i] ? before[i] - slots : 0;
+				before[i] = slots;
+			}
+		}
+		g_test_message("case %zu: %.3f of the slot credits moved a round", c,
+			       (double)moved / rounds / (2.0 * cases[c].nr_targets));
+		g_assert_cmpfloat((double)moved / rounds / (2.0 * cases[c].nr_targets), <=,
+				  (double)INTERVAL_MS / TENURE_MS);
+		g_free(before);
+		fixture_release(&fx);
+	}
+}
+
+/* The important class is served as if the others were not there; these are not starved. */
+static void test_priorities(void)
+{
+	const struct {
+		double demand[2][CREDIT_PRIORITIES]; /* of two members, for 20 slots */
+		double least, most;		     /* mean slots of the first */
+	} cases[] = {
+		{ { { 0, 16 }, { 0, 0, 40 } }, 15.2, 16.8 },
+		{ { { 8, 8 }, { 0, 0, 0, 40 } }, 15.2, 16.8 },
+		{ { { 0, 5 }, { 0, 0, 100 } }, 4.5, 5.5 },
+		{ { { 0, 0, 10 }, { 0, 0, 0, 30 } }, 4.5, 5.5 },
+		/* Nothing is scarce: lower priorities count in full. */
+		{ { { 0, 4 }, { 0, 0, 4 } }, 9.5, 10.5 },
+		/* More than fits: the lower class keeps a twentieth of its demand. */
+		{ { { 0, 30 }, { 0, 0, 30 } }, 18.0, 19.5 },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		const int rounds = 400;
+		double mean = 0;
+		int64_t idle_ms = 0;
+		struct fixture fx;
+
+		fixture_init(&fx, 10, 2);
+		for (size_t m = 0; m < 2; m++)
+			for (size_t p = 0; p < CREDIT_PRIORITIES; p++)
+				fx.members[m].openings_milli_per_s[p] =
+					demand_milli(cases[c].demand[m][p]);
+		for (int r = 0; r < rounds; r++) {
+			run_round(&fx);
+			mean += (double)sum_held(&fx, 1).slots / rounds;
+			idle_ms = sum_held(&fx, 2).slots ? 0 : idle_ms + INTERVAL_MS;
+			g_assert_cmpint(idle_ms, <=, 2000);
+		}
+		g_assert_cmpfloat(mean, >=, cases[c].least);
+		g_assert_cmpfloat(mean, <=, cases[c].most);
+		fixture_release(&fx);
+	}
+}
+
+/* An idle member holds credits now and then, also when nobody has any demand. */
+static void test_idle(void)
+{
+	struct fixture fx;
+	uint32_t idle = 0;
+
+	fixture_init(&fx, 50, 20);
+	for (size_t m = 1; m < 20; m++)
+		fx.members[m].openings_milli_per_s[1] = demand_milli(5);
+	for (int r = 0; r < 100; r++) {
+		run_round(&fx);
+		idle += sum_held(&fx, 1).slots;
+	}
+	g_assert_cmpuint(idle, >, 0);
+	g_assert_cmpuint(idle, <, 100);
+	for (size_t m = 1; m < 20; m++)
+		fx.members[m].openings_milli_per_s[1] = 0;
+	for (int r = 0; r < 8; r++)
+		run_round(&fx);
+	for (uint32_t m = 0; m < 20; m++)
+		g_assert_cmpuint(sum_held(&fx, m + 1).slots, >=, 4);
+	fixture_release(&fx);
+}
+
+/* Queue credits: one to three a slot, two credits a member in between. */
+static void test_queue_credits(void)
+{
+	const struct {
+		size_t nr_targets, nr_members;
+		uint32_t queue;
+	} cases[] = {
+		{ 10, 1, 20 },	{ 10, 19, 20 }, { 10, 20, 20 },	 { 10, 25, 30 },
+		{ 10, 30, 40 }, { 10, 40, 60 }, { 10, 200, 60 },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		struct fixture fx;
+		uint32_t queue = 0;
+
+		fixture_init(&fx, cases[c].nr_targets, cases[c].nr_members);
+		run_round(&fx);
+		for (uint32_t m = 0; m < cases[c].nr_members; m++)
+			queue += sum_held(&fx, m + 1).queue;
+		g_assert_cmpuint(queue, ==, cases[c].queue);
+		fixture_release(&fx);
+	}
+}
+
+/* What a target's state leaves of its credits, and that entries say its speed and lender. */
+static void test_targets(void)
+{
+	const struct {
+		struct alloc_target target; /* without key */
+		uint32_t slots, queue;
+		uint16_t speed_permille;
+	} cases[] = {
+		{ { .slots = 2, .speed_permille = 550, .capacity_permille = 1000 }, 2, 6, 550 },
+		{ { .slots = 2, .speed_permille = 9000, .capacity_permille = 1000 }, 2, 6, 2000 },
+		{ { .slots = 2, .speed_permille = 0, .capacity_permille = 1000 }, 2, 6, 250 },
+		{ { .slots = 2, .speed_permille = 1000, .capacity_permille = 500 }, 1, 3, 1000 },
+		{ { .slots = 2, .speed_permille = 1000, .capacity_permille = 62 }, 1, 0, 1000 },
+		{ { .slots = 2, .speed_permille = 1000, .capacity_permille = 0 }, 1, 0, 1000 },
+		{ { .slots = 8, .speed_permille = 1000, .capacity_permille = 250 }, 2, 6, 1000 },
+		{ { 0, 2, 1000, 1000, .cold_limited = true }, 1, 0, 1000 },
+		{ { 0, 2, 1200, 1000, .lent = true }, 2, 0, 1200 },
+		{ { .slots = 0, .speed_permille = 1000, .capacity_permille = 1000 }, 0, 0, 0 },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		struct fixture fx;
+		struct held held;
+
+		fixture_init(&fx, 10, 100);
+		/* Before it changes, it has all credits. */
+		run_round(&fx);
+		fx.targets[3] = cases[c].target;
+		fx.targets[3].key = 77;
+		for (int r = 0; r < 20; r++) {
+			run_round(&fx);
+			held = sum_target(&fx, 77);
+			g_assert_cmpuint(held.slots, ==, cases[c].slots);
+			g_assert_cmpuint(held.queue, ==, cases[c].queue);
+		}
+		for (uint32_t m = 0; m < 100; m++) {
+			const struct credit_entry *entry = find_entry(&fx, m + 1, 77);
+
+			if (!entry)
+				continue;
+			g_assert_cmpuint(entry->speed_permille, ==, cases[c].speed_permille);
+			g_assert_cmpint(entry->lent, ==, cases[c].target.lent);
+		}
+		fixture_release(&fx);
+	}
+}
+
+/* Lends only what the members leave, never more than is wanted. */
+static void test_borrowers(void)
+{
+	const struct {
+		double demand;		/* in slots, of 40 */
+		uint32_t wanted[2];	/* in thousandths */
+		uint32_t credits[2];	/* lent */
+		int64_t shortage_milli; /* with 40 slots, of which 34 count */
+	} cases[] = {
+		{ 30, { 1000, 0 }, { 1, 0 }, -4000 },	 { 30, { 8000, 8000 }, { 2, 2 }, -4000 },
+		{ 30, { 9000, 3000 }, { 3, 1 }, -4000 }, { 10, { 3900, 5100 }, { 3, 5 }, -24000 },
+		{ 10, { 900, 0 }, { 0, 0 }, -24000 },	 { 34, { 8000, 8000 }, { 0, 0 }, 0 },
+		{ 50, { 8000, 8000 }, { 0, 0 }, 16000 },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		struct fixture fx;
+
+		fixture_init(&fx, 21, 6);
+		/* What is lent by others is not lent on, nor does it count as room. */
+		fx.targets[20].lent = true;
+		for (size_t m = 0; m < 4; m++)
+			fx.members[m].openings_milli_per_s[1] = demand_milli(cases[c].demand / 4);
+		for (size_t b = 0; b < 2; b++) {
+			fx.members[4 + b].borrower = true;
+			fx.members[4 + b].wanted_milli = cases[c].wanted[b];
+		}
+		for (int r = 0; r < 40; r++) {
+			run_round(&fx);
+			g_assert_cmpint(allocator_shortage_milli(fx.al), ==,
+					cases[c].shortage_milli);
+			for (uint32_t b = 0; b < 2; b++) {
+				struct held held = sum_held(&fx, 5 + b);
+
+				g_assert_cmpuint(held.slots * 1000, <=, cases[c].wanted[b]);
+				g_assert_cmpuint(held.queue, ==, 0);
+				g_assert_null(find_entry(&fx, 5 + b, fx.targets[20].key));
+				/* After the first tenures, that much is really lent. */
+				if (r >= 8)
+					g_assert_cmpuint(held.slots, ==, cases[c].credits[b]);
+			}
+		}
+		/* Own demand takes back what is lent within one round. */
+		for (size_t m = 0; m < 4; m++)
+			fx.members[m].openings_milli_per_s[1] = demand_milli(20);
+		run_round(&fx);
+		g_assert_cmpuint(sum_held(&fx, 5).slots + sum_held(&fx, 6).slots, ==, 0);
+		fixture_release(&fx);
+	}
+}
+
+/* While the service time is unknown, credits follow openings, and nothing is lent. */
+static void test_unknown_service_time(void)
+{
+	struct fixture fx;
+	double mean = 0;
+
+	fixture_init(&fx, 10, 3);
+	fx.round.service_time_us = 0;
+	fx.members[0].openings_milli_per_s[1] = 30000;
+	fx.members[1].openings_milli_per_s[2] = 10000;
+	fx.members[2].borrower = true;
+	fx.members[2].wanted_milli = 5000;
+	for (int r = 0; r < 200; r++) {
+		run_round(&fx);
+		mean += sum_held(&fx, 1).slots / 200.0;
+		g_assert_null(allocator_credits(fx.al, 3));
+		g_assert_cmpint(allocator_shortage_milli(fx.al), ==, 0);
+	}
+	g_assert_cmpfloat(fabs(mean - 15), <=, 0.75);
+	fixture_release(&fx);
+}
+
+/* Credits of who leaves are given on at the next round; input that repeats itself is ignored. */
+static void test_come_and_go(void)
+{
+	struct fixture fx;
+
+	fixture_init(&fx, 10, 4);
+	for (size_t m = 0; m < 4; m++)
+		fx.members[m].openings_milli_per_s[1] = demand_milli(5);
+	run_round(&fx);
+	for (uint32_t m = 0; m < 4; m++)
+		g_assert_cmpuint(sum_held(&fx, m + 1).slots, ==, 5);
+	/* A member leaves. */
+	fx.round.nr_members = 3;
+	run_round(&fx);
+	g_assert_null(allocator_credits(fx.al, 4));
+	g_assert_cmpuint(sum_held(&fx, 1).slots + sum_held(&fx, 2).slots + sum_held(&fx, 3).slots,
+			 ==, 20);
+	/* It comes back, and has its share after the tenures of the others. */
+	fx.round.nr_members = 4;
+	for (int r = 0; r < 8; r++)
+		run_round(&fx);
+	g_assert_cmpuint(sum_held(&fx, 4).slots, >=, 4);
+	/* Targets leave. */
+	fx.round.nr_targets = 5;
+	run_round(&fx);
+	g_assert_cmpuint(sum_target(&fx, fx.targets[7].key).slots, ==, 0);
+	g_assert_cmpuint(sum_target(&fx, fx.targets[4].key).slots, ==, 2);
+	/* Nobody is left; then nothing. */
+	fx.round.nr_members = 0;
+	run_round(&fx);
+	g_assert_null(allocator_credits(fx.al, 1));
+	fx.round.nr_members = 4;
+	fx.round.nr_targets = 0;
+	run_round(&fx);
+	g_assert_null(allocator_credits(fx.al, 1));
+	/* A target and a member that are listed twice. */
+	fx.round.nr_targets = 10;
+	fx.targets[1].key = fx.targets[0].key;
+	fx.members[1].id = 1;
+	run_round(&fx);
+	g_assert_cmpuint(sum_target(&fx, fx.targets[0].key).slots, ==, 2);
+	fixture_release(&fx);
+}
+
+/* Scans of members for each credit would take seconds. */
+static void test_large(void)
+{
+	static struct fixture fx;
+	double least_ms = 1000;
+
+	fixture_init(&fx, MAX_TARGETS, MAX_MEMBERS);
+	for (uint32_t m = 0; m < MAX_MEMBERS; m++)
+		fx.members[m].openings_milli_per_s[1 + m % 2] = demand_milli(1 + m % 7);
+	for (int r = 0; r < 20; r++) {
+		clock_t start = clock();
+
+		run_round(&fx);
+		least_ms = MIN(least_ms, (double)(clock() - start) * 1000 / CLOCKS_PER_SEC);
+	}
+	g_test_message("a round of %d members and %d targets takes %.2f ms", MAX_MEMBERS,
+		       MAX_TARGETS, least_ms);
+	g_assert_cmpfloat(least_ms, <=, 5);
+	fixture_release(&fx);
+}
+
+/* Load in steps, each with a burst of both classes; loads are in times the capacity. */
+static const struct {
+	double important, lower;
+} steps[] = {
+	{ 0.35, 0.65 }, { 0.6, 1.4 }, { 0.6, 4.4 }, { 0.35, 2.65 },
+	{ 0.7, 1.3 },	{ 0.7, 4.3 }, { 0.2, 0.8 }, { 0.5, 3.5 },
+};
+
+#define STEP_MS		6000
+#define BURST_MS	400
+#define BURST_IMPORTANT 0.78
+
+static void run_step(struct creditsim *sim, double important, double lower)
+{
+	creditsim_run(sim, STEP_MS / 2, important, lower);
+	creditsim_run(sim, BURST_MS, BURST_IMPORTANT, MIN(2 * lower, 5 - BURST_IMPORTANT));
+	creditsim_run(sim, STEP_MS / 2 - BURST_MS, important, lower);
+}
+
+static void message_figures(const struct creditsim *sim, const char *what)
+{
+	g_test_message("%s: %.4f of %" G_GUINT64_FORMAT " arrivals rejected; in time %.4f of "
+		       "the important class, %.4f of the lower one; no answer of the lower one "
+		       "for %" G_GINT64_FORMAT " ms",
+		       what, creditsim_rejected(sim), sim->arrived, creditsim_in_time(sim, 0),
+		       creditsim_in_time(sim, 1), sim->classes[1].gap_ms);
+}
+
+static void test_scarcity(void)
+{
+	const uint64_t seeds[] = { 1, 2, 3 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+		struct creditsim *sim = creditsim_new(seeds[i]);
+
+		creditsim_run(sim, 10000, 0.3, 0.3);
+		creditsim_count(sim, true);
+		for (size_t step = 0; step < G_N_ELEMENTS(steps); step++)
+			run_step(sim, steps[step].important, steps[step].lower);
+		creditsim_count(sim, false);
+		creditsim_run(sim, 2000, 0.3, 0.3);
+		message_figures(sim, "scarcity");
+		g_assert_cmpfloat(creditsim_rejected(sim), <, 0.05);
+		g_assert_cmpfloat(creditsim_in_time(sim, 0), >=, 0.95);
+		g_assert_cmpint(sim->classes[1].gap_ms, <=, 2000);
+		creditsim_free(sim);
+	}
+}
+
+/* The important class alone exceeds the capacity. */
+static void test_starvation(void)
+{
+	struct creditsim *sim = creditsim_new(4);
+
+	creditsim_run(sim, 5000, 0.3, 0.3);
+	creditsim_count(sim, true);
+	creditsim_run(sim, 20000, 1.5, 1.5);
+	message_figures(sim, "more of the important class than fits");
+	g_assert_cmpfloat(creditsim_rejected(sim), <, 0.05);
+	g_assert_cmpint(sim->classes[1].gap_ms, <=, 2000);
+	creditsim_free(sim);
+}
+
+static void test_calm(void)
+{
+	const uint64_t seeds[] = { 5, 6, 7 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+		struct creditsim *sim = creditsim_new(seeds[i]);
+
+		creditsim_run(sim, 10000, 0.15, 0.15);
+		creditsim_count(sim, true);
+		creditsim_run(sim, 30000, 0.15, 0.15);
+		message_figures(sim, "calm");
+		g_test_message("busiest to mean, by speed: %.3f", creditsim_busiest(sim));
+		g_assert_cmpfloat(creditsim_busiest(sim), <=, 1.25);
+		g_assert_cmpfloat(creditsim_rejected(sim), <, 0.05);
+		creditsim_free(sim);
+	}
+}
+
+/* All instances move the requests of dead targets at the same moment. */
+static void test_deaths(void)
+{
+	const double loads[] = { 0.15, 0.3, 0.45 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		struct creditsim *sim = creditsim_new(8 + i);
+		uint32_t most = 0;
+
+		sim->same_lag = true;
+		creditsim_run(sim, 10000, loads[i], loads[i]);
+		/* Ends just before a round; its grants arrive 200 ms later. */
+		for (uint32_t t = 0; t < SIM_TARGETS; t += 2)
+			sim->targets[t].dead = true;
+		creditsim_run(sim, 200, loads[i], loads[i]);
+		creditsim_count(sim, true);
+		creditsim_run(sim, 200, loads[i], loads[i]);
+		for (uint32_t t = 1; t < SIM_TARGETS; t += 2)
+			most = MAX(most, sim->targets[t].arrived);
+		g_test_message("load %.1f: %u arrivals at one target in the 200 ms after half "
+			       "of the targets died",
+			       2 * loads[i], most);
+		g_assert_cmpuint(most, <=, SIM_SLOTS + SIM_QUEUE);
+		creditsim_free(sim);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	g_test_add_func("/allocator/share", test_share);
+	g_test_add_func("/allocator/sticky", test_sticky);
+	g_test_add_func("/allocator/priorities", test_priorities);
+	g_test_add_func("/allocator/idle", test_idle);
+	g_test_add_func("/allocator/queue-credits", test_queue_credits);
+	g_test_add_func("/allocator/targets", test_targets);
+	g_test_add_func("/allocator/borrowers", test_borrowers);
+	g_test_add_func("/allocator/unknown-service-time", test_unknown_service_time);
+	g_test_add_func("/allocator/come-and-go", test_come_and_go);
+	g_test_add_func("/allocator/large", test_large);
+	g_test_add_func("/allocator/scarcity", test_scarcity);
+	g_test_add_func("/allocator/starvation", test_starvation);
+	g_test_add_func("/allocator/calm", test_calm);
+	g_test_add_func("/allocator/deaths", test_deaths);
+	return g_test_run();
+}
