--- a/credit/account.h
+++ b/credit/account.h
@@ -46,6 +46,8 @@
 /* A request has had no answer for credit_overdue_ms(); to be called once a request. */
 void credit_note_overdue(struct credit_account *acc, struct reg_target *tgt);
 int64_t credit_overdue_ms(const struct credit_account *acc, uint32_t service);
+/* Probes have found the target dead. */
+void credit_note_dead(struct credit_account *acc, struct reg_target *tgt);
 /* The number of openings of the service that wait for a credit, for reports. */
 void credit_set_waiting(struct credit_account *acc, uint32_t service, uint32_t waiting);
 
--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -32,13 +32,15 @@
  * caller's address has its share of it.
  */
 bool backlog_add(struct backlog *bl, struct backlog_item *item);
+/* Whether an opening of @size bytes exceeds the bounds, whoever its caller is. */
+bool backlog_is_full(const struct backlog *bl, size_t size);
 void backlog_remove(struct backlog *bl, struct backlog_item *item);
 /*
  * The opening of the service to place next, or NULL: of the highest priority, the oldest first; one
  * in 16 placements goes to the next lower priority that waits.
  */
 struct backlog_item *backlog_next(struct backlog *bl, uint32_t service);
-/* To be called when the opening of backlog_next() has been placed. */
+/* Removes the opening of backlog_next(), which is being placed. */
 void backlog_placed(struct backlog *bl, struct backlog_item *item);
 /* An opening that has waited for its limit, or NULL. */
 struct backlog_item *backlog_expired(struct backlog *bl, struct timespec now);
--- a/edge-counters.h
+++ b/edge-counters.h
@@ -15,6 +15,8 @@
 	X(openings_moved, "openings sent to another target after the first one failed")            \
 	X(openings_waited, "openings that waited for a usable target")                             \
 	X(openings_placed_late, "openings sent to a target after they had waited")                 \
+	X(openings_waited_credit, "openings that waited for a credit")                             \
+	X(openings_placed_credit, "openings sent to a target after they had waited for a credit")  \
 	X(openings_unanswered, "openings that ended without an acceptance on this instance")       \
 	X(flows_accepted, "flows accepted on this instance")                                       \
 	X(flows_adopted, "flows that another instance had opened")                                 \
@@ -24,6 +26,7 @@
 	X(refused_no_route, "openings reset because no route matches their address")               \
 	X(refused_no_target, "openings reset because no target is eligible")                       \
 	X(refused_overloaded, "openings reset because the target would answer too late")           \
+	X(refused_no_room, "openings reset because no credit would be free in time")               \
 	X(resets_route_withdrawn, "flows reset because their route was withdrawn")                 \
 	X(resets_target_dead, "flows reset because their target was found dead")                   \
 	X(resets_target_gone, "flows reset because their target is not listed any more")           \
@@ -31,6 +34,7 @@
 	X(targets_suspected, "targets suspected of having failed")                                 \
 	X(targets_cleared, "suspected targets that turned out to be alive")                        \
 	X(targets_dead, "targets found dead")                                                      \
+	X(requests_overdue, "requests without an answer for much longer than usual")               \
 	X(probes, "connections opened to verify a target")                                         \
 	X(store_calls, "calls to the platform's store")                                            \
 	X(store_errors, "calls to the platform's store that failed")                               \
--- a/placing.c
+++ b/placing.c
@@ -5,14 +5,6 @@
 
 #include "timeutil.h"
 
-/* Order of preference; a worse tier is used only when the better ones are empty. */
-enum tier {
-	TIER_WARM,
-	TIER_COLD,
-	TIER_SUSPECTED,
-	TIER_NONE,
-};
-
 /* Cost of a request in progress, relative to an open flow: most open flows are idle. */
 #define BUSY_WEIGHT 2
 /* Shortens ranks so that they can be multiplied by remote_percent without overflow. */
@@ -64,22 +56,25 @@
 	return false;
 }
 
-static enum tier target_tier(const struct search *srch, const struct reg_target *tgt)
+enum placing_tier placing_tier(const struct placing *pl, const struct placing_request *req,
+			       const struct reg_target *tgt, bool cold_rate_limited)
 {
-	const struct placing_request *req = srch->req;
-	const struct placing *pl = srch->pl;
-
 	if (tgt->phase != TARGET_READY || tgt->trust == TRUST_DEAD || was_tried(req, tgt) ||
 	    placing_is_withdrawn(pl, tgt->data_centre))
 		return TIER_NONE;
 	if (ts_cmp(req->now, tgt->warm_at) >= 0)
 		return tgt->trust == TRUST_SUSPECTED ? TIER_SUSPECTED : TIER_WARM;
-	if (srch->cold_rate_limited &&
+	if (cold_rate_limited &&
 	    ts_diff_ms(req->now, tgt->last_cold_opening) < pl->opts.cold_gap_ms)
 		return TIER_NONE;
 	return TIER_COLD;
 }
 
+static enum placing_tier target_tier(const struct search *srch, const struct reg_target *tgt)
+{
+	return placing_tier(srch->pl, srch->req, tgt, srch->cold_rate_limited);
+}
+
 /* Rank of a target for a flow, equal on all instances; lower is better. */
 static uint64_t target_rank(const struct placing_request *req, const struct reg_target *tgt)
 {
@@ -103,14 +98,14 @@
 
 struct candidate {
 	struct reg_target *tgt;
-	enum tier tier;
+	enum placing_tier tier;
 	uint64_t cost;
 	uint32_t ties;
 };
 
 static void consider(const struct search *srch, struct reg_target *tgt, struct candidate *best)
 {
-	enum tier tier = target_tier(srch, tgt);
+	enum placing_tier tier = target_tier(srch, tgt);
 	uint64_t cost;
 
 	if (tier == TIER_NONE || tier > best->tier)
@@ -131,7 +126,7 @@
 }
 
 static struct reg_target *choose_among(const struct search *srch, const GPtrArray *list,
-				       enum tier *tier)
+				       enum placing_tier *tier)
 {
 	struct candidate best = { .tier = TIER_NONE };
 
@@ -167,7 +162,7 @@
  * instance.
  */
 static struct reg_target *choose_by_two_choices(struct search *srch, const GPtrArray *list,
-						enum tier *tier)
+						enum placing_tier *tier)
 {
 	struct candidate best = { .tier = TIER_NONE };
 	struct top_two own = { 0 };
@@ -191,7 +186,8 @@
 }
 
 static struct reg_target *choose_in_service(struct placing *pl, const struct placing_request *req,
-					    const struct route_service *svc, enum tier *tier)
+					    const struct route_service *svc,
+					    enum placing_tier *tier)
 {
 	struct search srch = { .pl = pl, .req = req, .cold_rate_limited = svc->cold_rate_limited };
 	const GPtrArray *list = registry_by_service(pl->opts.registry, svc->service);
@@ -206,19 +202,13 @@
 	return tgt ? tgt : choose_among(&srch, list, tier);
 }
 
-/*
- * Index of the service of a split route, by weight. It depends on the flow only, so that a copy of
- * an opening gets the same service on another instance: targets of two services must not both
- * accept the opening.
- */
-static size_t route_service_index(const struct placing_request *req)
+static size_t route_service_index(const struct route_rule *rule, uint64_t flow_digest)
 {
-	const struct route_rule *rule = req->rule;
 	uint32_t point;
 
 	if (!rule->weight_sum)
 		return 0;
-	point = (uint32_t)((req->flow_digest >> DIGEST_HALF_BITS) % rule->weight_sum);
+	point = (uint32_t)((flow_digest >> DIGEST_HALF_BITS) % rule->weight_sum);
 	for (size_t i = 0; i < rule->nr_services; i++) {
 		if (point < rule->services[i].weight)
 			return i;
@@ -227,12 +217,17 @@
 	return 0;
 }
 
+const struct route_service *placing_service(const struct route_rule *rule, uint64_t flow_digest)
+{
+	return &rule->services[route_service_index(rule, flow_digest)];
+}
+
 struct reg_target *placing_choose(struct placing *pl, const struct placing_request *req)
 {
 	const struct route_rule *rule = req->rule;
-	size_t first = route_service_index(req);
+	size_t first = route_service_index(rule, req->flow_digest);
 	struct reg_target *best = NULL;
-	enum tier best_tier = TIER_NONE;
+	enum placing_tier best_tier = TIER_NONE;
 
 	/* Other services of the route are used only if that of the flow has no target. */
 	for (size_t i = 0; i < rule->nr_services && best_tier == TIER_NONE; i++) {
--- a/placing.h
+++ b/placing.h
@@ -19,6 +19,14 @@
 	PLACING_RENDEZVOUS,  /* by a hash of flow and target, the same on all instances */
 };
 
+/* Order of preference; a worse tier is used only when the better ones are empty. */
+enum placing_tier {
+	TIER_WARM,
+	TIER_COLD,
+	TIER_SUSPECTED,
+	TIER_NONE,
+};
+
 struct placing_options {
 	enum placing_policy policy;
 	struct registry *registry;
@@ -58,6 +66,15 @@
  */
 bool placing_has_listed(const struct placing *pl, const struct route_rule *rule);
 
+/*
+ * The service of a route that gets the opening while it has targets, by weight. It depends on the
+ * flow only, so that a copy of an opening gets the same service on another instance: targets of two
+ * services must not both accept the opening.
+ */
+const struct route_service *placing_service(const struct route_rule *rule, uint64_t flow_digest);
+/* The tier of a target for the opening. */
+enum placing_tier placing_tier(const struct placing *pl, const struct placing_request *req,
+			       const struct reg_target *tgt, bool cold_rate_limited);
 /* Returns NULL when no target can take the opening. */
 struct reg_target *placing_choose(struct placing *pl, const struct placing_request *req);
 
--- a/registry.c
+++ b/registry.c
@@ -333,6 +333,16 @@
 	return tgt;
 }
 
+struct reg_target *registry_by_digest(const struct registry *reg, uint64_t digest)
+{
+	struct reg_target *tgt =
+		g_hash_table_lookup(reg->by_mark, GUINT_TO_POINTER(mark_id(digest)));
+
+	while (tgt && tgt->digest != digest)
+		tgt = tgt->next_mark;
+	return tgt;
+}
+
 const GPtrArray *registry_by_service(const struct registry *reg, uint32_t service)
 {
 	const GPtrArray *list = g_hash_table_lookup(reg->by_service, GUINT_TO_POINTER(service));
--- a/registry.h
+++ b/registry.h
@@ -14,6 +14,7 @@
 #include <time.h>
 
 #include "admission.h"
+#include "credit/target-credit.h"
 #include "packet.h"
 #include "symbol.h"
 
@@ -80,6 +81,8 @@
 	bool probe_refused;		   /* a probe of the round was refused */
 	bool probe_connected;		   /* a probe of the round has connected */
 	bool probe_inconclusive;	   /* a probe of the round was inconclusive */
+
+	struct target_credit credit; /* Kept by credit/account.c. */
 };
 
 struct registry;
@@ -120,6 +123,7 @@
 int64_t registry_freed_revision(const struct registry *reg);
 
 struct reg_target *registry_by_id(struct registry *reg, const char *id);
+struct reg_target *registry_by_digest(const struct registry *reg, uint64_t digest);
 /* Ready and draining targets of a service: struct reg_target. NULL when there are none. */
 const GPtrArray *registry_by_service(const struct registry *reg, uint32_t service);
 uint32_t registry_count(const struct registry *reg);
