steer: place openings by credits while a grant is in force

An instance that holds credits must not send an opening to a target without one, or the sum of requests exceeds what targets can take. Openings of a service with a grant go to a target with a free credit, wait in the backlog, or are refused as no_room; credits are charged to flows and returned when the answer begins or the flow ends. Without an account nothing changes.

--- a/beliefs.h
+++ b/beliefs.h
@@ -27,11 +27,14 @@
 	CONTROL_KINDS,
 };
 
+struct credit_account;
+
 struct control_state {
 	struct symbols symbols;
 	struct registry *registry;
 	struct routing *routing;
 	struct placing placing;
+	struct credit_account *credit; /* NULL without credits */
 	struct steer *steer;
 	struct edge_counters counters;
 	GHashTable *lapsed;    /* GString id to struct timespec: when the target is removed */
@@ -59,6 +62,7 @@
 	uint32_t cold_gap_ms;
 	uint32_t verify_ms;
 	size_t max_flows;
+	bool credits; /* place openings by credits while grants are in force */
 	struct random *random;
 	struct steer_out *out;
 };
--- a/decision.c
+++ b/decision.c
@@ -35,7 +35,7 @@
 		decisions.budgets[i] = (struct line_budget){ .tokens = LOG_BURST_LINES * 1000 };
 }
 
-static bool take_token(struct line_budget *budget, struct timespec now)
+static void fill_budget(struct line_budget *budget, struct timespec now)
 {
 	int64_t passed = ts_diff_ms(now, budget->filled);
 
@@ -44,12 +44,27 @@
 		budget->tokens = MIN(budget->tokens + passed * LOG_LINES_PER_S,
 				     (int64_t)LOG_BURST_LINES * 1000);
 	}
+}
+
+static bool take_token(struct line_budget *budget, struct timespec now)
+{
+	fill_budget(budget, now);
 	if (budget->tokens < 1000)
 		return false;
 	budget->tokens -= 1000;
 	return true;
 }
 
+bool decision_is_logged(enum decision_kind kind, struct timespec now)
+{
+	struct line_budget *budget = &decisions.budgets[kind];
+
+	if (!decisions.counters)
+		return false;
+	fill_budget(budget, now);
+	return budget->tokens >= 1000;
+}
+
 void decision_log(enum decision_kind kind, struct timespec now, const char *format, ...)
 {
 	struct line_budget *budget = &decisions.budgets[kind];
--- a/decision.h
+++ b/decision.h
@@ -30,6 +30,8 @@
 /* Sets the counters of lines written, suppressed and lost. Nothing is logged without them. */
 void decision_init(struct edge_counters *counters);
 
+/* Whether decision_log() would write a line, for figures that are costly to find. */
+bool decision_is_logged(enum decision_kind kind, struct timespec now);
 /* Writes a line unless the rate limit of the kind is exceeded at @now. */
 void decision_log(enum decision_kind kind, struct timespec now, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
--- a/steer-flow.c
+++ b/steer-flow.c
@@ -2,6 +2,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <string.h>
+
 #include "steer-internal.h"
 
 /* Closed flows are kept for late packets: retransmissions of callers are at most 1.6 s apart. */
@@ -43,7 +45,7 @@
 }
 
 /* Evicts the least recently used closed flow, or else the least recently used opening. */
-static bool make_room(struct steer *st)
+static bool make_room(struct steer *st, struct timespec now)
 {
 	struct steer_flow *flow = g_queue_peek_head(&st->by_state[FLOW_CLOSED]);
 
@@ -51,7 +53,7 @@
 		flow = g_queue_peek_head(&st->by_state[FLOW_OPENING]);
 	if (!flow)
 		return false;
-	steer_flow_remove(st, flow);
+	steer_flow_remove(st, flow, now);
 	return true;
 }
 
@@ -60,7 +62,7 @@
 {
 	struct steer_flow *flow;
 
-	if (g_hash_table_size(st->flows) >= st->opts.max_flows && !make_room(st))
+	if (g_hash_table_size(st->flows) >= st->opts.max_flows && !make_room(st, now))
 		return NULL;
 	flow = g_new0(struct steer_flow, 1);
 	flow->addr = *addr;
@@ -74,6 +76,21 @@
 	return flow;
 }
 
+struct steer_flow *steer_flow_add_opening(struct steer *st, const struct caller_packet *pkt,
+					  struct timespec now)
+{
+	struct flow_addr addr = { pkt->caller, pkt->service };
+	struct steer_flow *flow = steer_flow_add(st, &addr, FLOW_OPENING, now);
+
+	if (!flow)
+		return NULL;
+	flow->opening = g_malloc0(sizeof(struct opening) + pkt->size);
+	flow->opening->size = pkt->size;
+	memcpy(flow->opening->bytes, pkt->bytes, pkt->size);
+	flow->opening_seq = pkt->seq;
+	return flow;
+}
+
 void steer_flow_touch(struct steer *st, struct steer_flow *flow, struct timespec now)
 {
 	flow->last_packet = now;
@@ -138,15 +155,19 @@
 	if (flow->opening->verify_queued)
 		g_queue_unlink(&st->unverified, &flow->opening->verify_link);
 	waiting_remove(&st->waiting, &flow->opening->waiting);
+	if (flow->credit)
+		steer_credit_stop_waiting(st, flow);
 	for (size_t i = 0; i < flow->opening->nr_tried; i++)
 		flow->opening->tried[i]->unaccepted--;
 	g_free(flow->opening);
 	flow->opening = NULL;
 }
 
-void steer_flow_remove(struct steer *st, struct steer_flow *flow)
+void steer_flow_remove(struct steer *st, struct steer_flow *flow, struct timespec now)
 {
 	steer_flow_drop_opening(st, flow);
+	if (flow->credit)
+		steer_credit_remove(st, flow, now);
 	steer_flow_set_target(flow, NULL);
 	g_queue_unlink(&st->by_state[flow->state], &flow->state_link);
 	g_hash_table_remove(st->flows, &flow->addr);
@@ -162,7 +183,7 @@
 	       ts_diff_ms(now, flow->last_packet) >= keep_ms) {
 		if (counter)
 			(*counter)++;
-		steer_flow_remove(st, flow);
+		steer_flow_remove(st, flow, now);
 	}
 }
 
--- a/steer-internal.h
+++ b/steer-internal.h
@@ -1,7 +1,8 @@
-/* State shared by steer.c, steer-flow.c and suspicion.c. */
+/* State shared by steer.c, the other steer-*.c and suspicion.c. */
 #ifndef STEER_INTERNAL_H
 #define STEER_INTERNAL_H
 
+#include "credit/steer-credit.h"
 #include "decision.h"
 #include "steer.h"
 #include "timeutil.h"
@@ -45,6 +46,7 @@
 	bool busy;			    /* the caller has sent data that is not answered yet */
 	bool counted;			    /* in target->open_flows and busy_flows */
 	char request[REQUEST_ID_BYTES + 1]; /* id of the latest request, for logs */
+	struct flow_credit *credit;	    /* NULL for none */
 	bool was_reset;	   /* by this instance; later packets are answered with a reset */
 	GList target_link; /* in target->flows */
 	GList state_link;  /* in steer.by_state[state], by time of the last packet */
@@ -57,7 +59,8 @@
 	GQueue unverified;	/* struct steer_flow by verify_due */
 	struct waiting waiting; /* struct steer_flow whose opening has not been sent */
 	struct timespec next_waiting_pass;
-	GPtrArray *untrusted; /* struct reg_target: the suspected and dead ones */
+	struct steer_credit *credit; /* NULL without credits */
+	GPtrArray *untrusted;	     /* struct reg_target: the suspected and dead ones */
 	struct registry_listener listener;
 	struct timespec next_sweep;
 	bool log_target_changes;
@@ -75,15 +78,19 @@
 /* NULL when the table is full of open flows, which are not evicted. */
 struct steer_flow *steer_flow_add(struct steer *st, const struct flow_addr *addr,
 				  enum flow_state state, struct timespec now);
+/* Adds a flow with the opening @pkt. NULL as with steer_flow_add(). */
+struct steer_flow *steer_flow_add_opening(struct steer *st, const struct caller_packet *pkt,
+					  struct timespec now);
 void steer_flow_touch(struct steer *st, struct steer_flow *flow, struct timespec now);
 void steer_flow_set_state(struct steer *st, struct steer_flow *flow, enum flow_state state);
 /* Assigns the flow, and its part in the counts, to @tgt; NULL for none. */
 void steer_flow_set_target(struct steer_flow *flow, struct reg_target *tgt);
 void steer_flow_set_busy(struct steer_flow *flow, bool busy);
 void steer_flow_drop_opening(struct steer *st, struct steer_flow *flow);
-void steer_flow_remove(struct steer *st, struct steer_flow *flow);
+void steer_flow_remove(struct steer *st, struct steer_flow *flow, struct timespec now);
 void steer_flows_expire(struct steer *st, struct timespec now);
 
+/* Resets; steer-reset.c. */
 /* Sends a reset to the caller and marks the entry closed. */
 void steer_reset_flow(struct steer *st, struct steer_flow *flow, enum reset_reason reason,
 		      struct timespec now);
@@ -97,9 +104,22 @@
 /* Sends a flow's opening to a target, and queues its verification. */
 void steer_send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
 			const char *why, struct timespec now);
+/* @figures: appended to the log line; empty, or begins with a space. */
+void steer_send_opening_with(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
+			     const char *why, const char *figures, struct timespec now);
+/* Sends an opening that has no entry in the flow table, because that is full. */
+void steer_send_untracked(struct steer *st, const struct caller_packet *pkt,
+			  const struct reg_target *tgt);
+/* Places an opening that has waited for a credit, when credits do not apply to it any more. */
+void steer_place_uncredited(struct steer *st, struct steer_flow *flow,
+			    const struct route_rule *rule, struct timespec now);
 /* Resets an opening. @tgt: the last target that was considered, for the log; NULL for none. */
 void steer_refuse(struct steer *st, const struct flow_addr *addr, uint32_t seq,
 		  enum reset_reason reason, const struct reg_target *tgt, struct timespec now);
+/* @figures: as for steer_send_opening_with(). */
+void steer_refuse_with(struct steer *st, const struct flow_addr *addr, uint32_t seq,
+		       enum reset_reason reason, const struct reg_target *tgt, const char *figures,
+		       struct timespec now);
 
 /* Openings without a usable target; steer-wait.c. */
 /* Whether earlier openings of the service wait, so that a new one has to queue behind them. */
--- a/steer-wait.c
+++ b/steer-wait.c
@@ -29,7 +29,7 @@
 			   struct timespec now)
 {
 	steer_refuse(st, &flow->addr, flow->ack, reason, NULL, now);
-	steer_flow_remove(st, flow);
+	steer_flow_remove(st, flow, now);
 }
 
 /* Queues the opening, if necessary in place of a less important one, which is refused. */
@@ -59,7 +59,7 @@
 		.service = flow->addr.service,
 		.priority = rule->admission.priority,
 		.size = sizeof(*flow) + sizeof(*flow->opening) + flow->opening->size,
-		.since = now,
+		.since = flow->started,
 	};
 	if (!placing_has_listed(st->opts.placing, rule) ||
 	    !waiting_is_worthwhile(&rule->admission, outage_ms) || !enqueue(st, item, now))
@@ -136,6 +136,8 @@
 
 void steer_stop(struct steer *st, struct timespec now)
 {
+	if (st->credit)
+		steer_credit_stop(st, now);
 	for (size_t i = 0; i < WAITING_PRIORITIES; i++) {
 		struct steer_flow *flow;
 
--- a/steer.c
+++ b/steer.c
@@ -19,42 +19,6 @@
  */
 #define GONE_TARGET_KEEP_MS 60000
 
-const char *reset_reason_name(enum reset_reason reason)
-{
-	static const char *const names[] = {
-		[RESET_NO_ROUTE] = "no_route",
-		[RESET_NO_TARGET] = "no_target",
-		[RESET_OVERLOADED] = "overloaded",
-		[RESET_ROUTE_WITHDRAWN] = "route_withdrawn",
-		[RESET_TARGET_DEAD] = "target_dead",
-		[RESET_TARGET_GONE] = "target_gone",
-		[RESET_TARGET_RESTARTED] = "target_reborn",
-	};
-
-	return names[reason];
-}
-
-static uint64_t *reset_counter(struct edge_counters *cnt, enum reset_reason reason)
-{
-	switch (reason) {
-	case RESET_NO_ROUTE:
-		return &cnt->refused_no_route;
-	case RESET_NO_TARGET:
-		return &cnt->refused_no_target;
-	case RESET_OVERLOADED:
-		return &cnt->refused_overloaded;
-	case RESET_ROUTE_WITHDRAWN:
-		return &cnt->resets_route_withdrawn;
-	case RESET_TARGET_DEAD:
-		return &cnt->resets_target_dead;
-	case RESET_TARGET_GONE:
-		return &cnt->resets_target_gone;
-	case RESET_TARGET_RESTARTED:
-		break;
-	}
-	return &cnt->resets_target_reborn;
-}
-
 static void send_to(struct steer *st, const struct reg_target *tgt, struct endpoint service,
 		    const uint8_t *bytes, size_t size)
 {
@@ -62,25 +26,6 @@
 	st->opts.out->ops->forward(st->opts.out, tgt, registry_mark(tgt, service), bytes, size);
 }
 
-void steer_refuse(struct steer *st, const struct flow_addr *addr, uint32_t seq,
-		  enum reset_reason reason, const struct reg_target *tgt, struct timespec now)
-{
-	const struct route_rule *rule = routing_find(st->opts.routing, addr->service);
-	char text[FLOW_TEXT_LEN];
-
-	(*reset_counter(st->opts.counters, reason))++;
-	st->opts.out->ops->reset(st->opts.out, addr, seq);
-	decision_log(
-		DECISION_REFUSE, now,
-		"flow=%s reason=%s target=%s response_ms=%u goal_ms=%u priority=%u config=%llu "
-		"config_age_ms=%lld",
-		flow_text(addr, text), reset_reason_name(reason), tgt ? tgt->id->str : "",
-		tgt ? response_time_ms(&tgt->responses, now) : 0,
-		rule ? rule->admission.goal_ms : 0, rule ? rule->admission.priority : 0,
-		(unsigned long long)routing_version(st->opts.routing),
-		(long long)ts_diff_ms(now, routing_commit_time(st->opts.routing)));
-}
-
 static void refuse_packet(struct steer *st, const struct caller_packet *pkt,
 			  enum reset_reason reason, const struct reg_target *tgt,
 			  struct timespec now)
@@ -90,47 +35,6 @@
 	steer_refuse(st, &addr, pkt->ack, reason, tgt, now);
 }
 
-void steer_reset_flow(struct steer *st, struct steer_flow *flow, enum reset_reason reason,
-		      struct timespec now)
-{
-	char text[FLOW_TEXT_LEN];
-
-	if (flow->state == FLOW_CLOSED)
-		return;
-	(*reset_counter(st->opts.counters, reason))++;
-	st->opts.out->ops->reset(st->opts.out, &flow->addr, flow->ack);
-	decision_log(DECISION_RESET, now,
-		     "flow=%s request=%s reason=%s target=%s age_ms=%lld idle_ms=%lld busy=%d "
-		     "target_silent_ms=%lld config=%llu",
-		     flow_text(&flow->addr, text), flow->request, reset_reason_name(reason),
-		     flow->target ? flow->target->id->str : "",
-		     (long long)ts_diff_ms(now, flow->started),
-		     (long long)ts_diff_ms(now, flow->last_packet), flow->busy,
-		     (long long)target_silent_ms(flow->target, now),
-		     (unsigned long long)routing_version(st->opts.routing));
-	steer_flow_drop_opening(st, flow);
-	flow->was_reset = true;
-	steer_flow_set_state(st, flow, FLOW_CLOSED);
-	steer_flow_touch(st, flow, now);
-}
-
-void steer_reset_target_flows(struct steer *st, struct reg_target *tgt, enum reset_reason reason,
-			      struct timespec now)
-{
-	GList *next;
-
-	if (!st->opts.resets)
-		return;
-	for (GList *link = tgt->flows.head; link; link = next) {
-		struct steer_flow *flow = link->data;
-
-		next = link->next;
-		/* Openings are retried on other targets; only established flows are reset. */
-		if (flow->state == FLOW_OPEN)
-			steer_reset_flow(st, flow, reason, now);
-	}
-}
-
 static void queue_verify(struct steer *st, struct steer_flow *flow, struct timespec now)
 {
 	struct opening *op = flow->opening;
@@ -141,8 +45,8 @@
 	g_queue_push_tail_link(&st->unverified, &op->verify_link);
 }
 
-void steer_send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
-			const char *why, struct timespec now)
+void steer_send_opening_with(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
+			     const char *why, const char *figures, struct timespec now)
 {
 	struct opening *op = flow->opening;
 	char text[FLOW_TEXT_LEN];
@@ -152,19 +56,35 @@
 	tgt->unaccepted++;
 	if (!flow->target)
 		steer_flow_set_target(flow, tgt);
+	if (st->credit)
+		steer_credit_sent(st, flow, tgt, now);
 	decision_log(DECISION_OPEN, now,
 		     "flow=%s target=%s why=%s try=%zu open=%u busy=%u response_ms=%u trust=%s "
-		     "config=%llu target_age_ms=%lld",
+		     "config=%llu target_age_ms=%lld%s",
 		     flow_text(&flow->addr, text), tgt->id->str, why, op->nr_tried, tgt->open_flows,
 		     tgt->busy_flows, response_time_ms(&tgt->responses, now),
 		     target_trust_name(tgt->trust),
 		     (unsigned long long)routing_version(st->opts.routing),
-		     (long long)ts_diff_ms(now, tgt->changed));
+		     (long long)ts_diff_ms(now, tgt->changed), figures);
 	send_to(st, tgt, flow->addr.service, op->bytes, op->size);
 	if (op->nr_tried == 1 && st->opts.verify_ms)
 		queue_verify(st, flow, now);
 }
 
+void steer_send_opening(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
+			const char *why, struct timespec now)
+{
+	steer_send_opening_with(st, flow, tgt, why, "", now);
+}
+
+void steer_send_untracked(struct steer *st, const struct caller_packet *pkt,
+			  const struct reg_target *tgt)
+{
+	/* Later packets are forwarded by their mark alone. */
+	st->opts.counters->flows_untracked++;
+	send_to(st, tgt, pkt->service, pkt->bytes, pkt->size);
+}
+
 /* Sends the opening to a target not yet tried. Returns false when there is none. */
 static bool try_target(struct steer *st, struct steer_flow *flow, const struct route_rule *rule,
 		       const char *why, struct timespec now)
@@ -256,6 +176,30 @@
 	}
 }
 
+void steer_place_uncredited(struct steer *st, struct steer_flow *flow,
+			    const struct route_rule *rule, struct timespec now)
+{
+	struct placing_request req = {
+		.rule = rule,
+		.now = now,
+		.flow_digest = steer_flow_digest(&flow->addr),
+	};
+	struct reg_target *tgt = NULL;
+
+	if (!steer_wait_has_queue(st, flow->addr.service))
+		tgt = admit(st, &req);
+	if (tgt) {
+		steer_wait_end_outage(st, flow->addr.service, now);
+		steer_send_opening(st, flow, tgt, "waited", now);
+		return;
+	}
+	if (!req.nr_tried && steer_wait_begin(st, flow, rule, now))
+		return;
+	steer_refuse(st, &flow->addr, flow->ack, req.nr_tried ? RESET_OVERLOADED : RESET_NO_TARGET,
+		     req.nr_tried ? req.tried[req.nr_tried - 1] : NULL, now);
+	steer_flow_remove(st, flow, now);
+}
+
 static void place_opening(struct steer *st, const struct caller_packet *pkt,
 			  const struct route_rule *rule, struct timespec now)
 {
@@ -270,32 +214,25 @@
 
 	st->opts.counters->openings++;
 	histogram_add(&st->target_list_ages, ts_diff_ms(now, *st->opts.targets_confirmed));
+	if (st->credit && steer_credit_place(st, pkt, rule, now))
+		return;
 	if (!steer_wait_has_queue(st, pkt->service))
 		tgt = admit(st, &req);
 	if (!tgt && req.nr_tried) {
 		refuse_packet(st, pkt, RESET_OVERLOADED, req.tried[req.nr_tried - 1], now);
 		return;
 	}
-	flow = steer_flow_add(st, &addr, FLOW_OPENING, now);
-	if (flow) {
-		flow->opening = g_malloc0(sizeof(struct opening) + pkt->size);
-		flow->opening->size = pkt->size;
-		memcpy(flow->opening->bytes, pkt->bytes, pkt->size);
-		flow->opening_seq = pkt->seq;
-	}
+	flow = steer_flow_add_opening(st, pkt, now);
 	if (tgt) {
 		steer_wait_end_outage(st, pkt->service, now);
-		if (flow) {
+		if (flow)
 			steer_send_opening(st, flow, tgt, "first", now);
-			return;
-		}
-		/* The table is full: later packets are forwarded by their mark alone. */
-		st->opts.counters->flows_untracked++;
-		send_to(st, tgt, pkt->service, pkt->bytes, pkt->size);
+		else
+			steer_send_untracked(st, pkt, tgt);
 	} else if (!flow || !steer_wait_begin(st, flow, rule, now)) {
 		refuse_packet(st, pkt, RESET_NO_TARGET, NULL, now);
 		if (flow)
-			steer_flow_remove(st, flow);
+			steer_flow_remove(st, flow, now);
 	}
 }
 
@@ -314,7 +251,7 @@
 		return;
 	}
 	if (flow)
-		steer_flow_remove(st, flow);
+		steer_flow_remove(st, flow, now);
 	if (rule)
 		place_opening(st, pkt, rule, now);
 	else
@@ -341,6 +278,8 @@
 		     (long long)ts_diff_ms(now, flow->started), (long long)ts_diff_ms(now, sent));
 	steer_flow_drop_opening(st, flow);
 	steer_flow_set_target(flow, tgt);
+	if (flow->credit)
+		steer_credit_accepted(st, flow, tgt, now);
 	steer_flow_set_state(st, flow, FLOW_OPEN);
 	suspicion_note_answer(st, tgt, now);
 }
@@ -400,6 +339,9 @@
 	if (!flow->has_ack || (int32_t)(pkt->ack - flow->ack) > 0) {
 		if (flow->has_ack)
 			suspicion_note_answer(st, flow->target, now);
+		if (flow->busy && flow->credit)
+			steer_credit_answered(st, flow, pkt->ack - flow->ack < SHORT_ANSWER_BYTES,
+					      now);
 		if (flow->busy && pkt->ack - flow->ack >= SHORT_ANSWER_BYTES)
 			response_time_add(&flow->target->responses,
 					  ts_diff_ms(now, flow->unanswered_since), now);
@@ -416,6 +358,8 @@
 			   pkt->request);
 	if ((int32_t)(end - flow->seq_end) > 0) {
 		flow->seq_end = end;
+		if (!flow->busy && flow->credit)
+			steer_credit_request(st, flow, now);
 		if (!flow->busy)
 			flow->unanswered_since = now;
 		steer_flow_set_busy(flow, true);
@@ -511,6 +455,8 @@
 			return;
 		if ((pkt->fin || pkt->rst) && flow->state == FLOW_OPEN) {
 			st->opts.counters->flows_closed++;
+			if (flow->credit)
+				steer_credit_end(st, flow, false, now);
 			steer_flow_set_busy(flow, false);
 			steer_flow_set_state(st, flow, FLOW_CLOSED);
 		}
@@ -529,6 +475,8 @@
 		handle_opening(st, flow, pkt, now);
 	else
 		handle_packet(st, flow, pkt, now);
+	if (st->credit)
+		steer_credit_flush(st, now);
 }
 
 static void verify_openings(struct steer *st, struct timespec now)
@@ -549,6 +497,8 @@
 	if (st->untrusted->len)
 		suspicion_timer(st, now);
 	steer_wait_timer(st, now);
+	if (st->credit)
+		steer_credit_timer(st, now);
 	if (ts_cmp(now, st->next_sweep) >= 0) {
 		st->next_sweep = ts_add_ms(now, SWEEP_INTERVAL_MS);
 		steer_flows_expire(st, now);
@@ -565,6 +515,8 @@
 		due = MIN(due, ts_diff_ms(flow->opening->verify_due, now));
 	due = MIN(due, suspicion_due_ms(st, now));
 	due = MIN(due, steer_wait_due_ms(st, now));
+	if (st->credit)
+		due = MIN(due, steer_credit_due_ms(st, now));
 	return MAX(due, 1);
 }
 
@@ -580,6 +532,8 @@
 		    routing_withdrawn(st->opts.routing, flow->addr.service))
 			steer_reset_flow(st, flow, RESET_ROUTE_WITHDRAWN, now);
 	}
+	if (st->credit)
+		steer_credit_routes_changed(st, now);
 }
 
 static void target_changed(struct registry_listener *listener, struct reg_target *tgt,
@@ -616,6 +570,7 @@
 	g_queue_init(&st->unverified);
 	waiting_init(&st->waiting);
 	steer_flows_init(st);
+	steer_credit_init(st);
 	registry_set_listener(opts->registry, &st->listener);
 	return st;
 }
@@ -628,8 +583,10 @@
 		struct steer_flow *flow;
 
 		while ((flow = g_queue_peek_head(&st->by_state[i])))
-			steer_flow_remove(st, flow);
+			steer_flow_remove(st, flow, flow->last_packet);
 	}
+	if (st->credit)
+		steer_credit_release(st);
 	registry_set_listener(st->opts.registry, NULL);
 	waiting_release(&st->waiting);
 	g_hash_table_unref(st->flows);
--- a/steer.h
+++ b/steer.h
@@ -56,6 +56,7 @@
 	RESET_NO_ROUTE,
 	RESET_NO_TARGET,
 	RESET_OVERLOADED,
+	RESET_NO_ROOM, /* no credit would be free in time */
 	RESET_ROUTE_WITHDRAWN,
 	RESET_TARGET_DEAD,
 	RESET_TARGET_GONE,
@@ -80,12 +81,15 @@
 	const struct steer_out_ops *ops;
 };
 
+struct credit_account;
+
 struct steer_options {
 	struct registry *registry;
 	struct routing *routing;
 	struct placing *placing;
 	struct steer_out *out;
 	struct edge_counters *counters;
+	struct credit_account *credit;		  /* NULL: openings are placed without credits */
 	const struct timespec *targets_confirmed; /* when the target list was last confirmed */
 	size_t max_flows;
 	uint32_t verify_ms;
@@ -105,11 +109,14 @@
 /* One of the connections that steer_out_ops.probe opens has ended. */
 void steer_probe_done(struct steer *st, struct reg_target *tgt, enum probe_result result,
 		      struct timespec now);
-/* The process ends: resets the openings that still wait for a target, which have not run. */
+/* The process ends: resets the openings that still wait, which have not run. */
 void steer_stop(struct steer *st, struct timespec now);
 /* To be called after a change of the configuration: resets flows whose route was withdrawn. */
 void steer_routes_changed(struct steer *st, struct timespec now);
 
+/* To be called after a grant of credits has arrived or has ended: places waiting openings. */
+void steer_credits_changed(struct steer *st, struct timespec now);
+
 /* Sets the delay after which an unaccepted opening is verified; applies to new openings. */
 void steer_set_verify_ms(struct steer *st, uint32_t verify_ms);
 
--- a/suspicion.c
+++ b/suspicion.c
@@ -3,6 +3,7 @@
  * answered no flow of this instance since the data was first sent is suspected, and verified by
  * probe connections. A busy or slow target still accepts connections, so its flows are kept.
  */
+#include "credit/account.h"
 #include "steer-internal.h"
 
 /*
@@ -164,6 +165,8 @@
 static void set_dead(struct steer *st, struct reg_target *tgt, struct timespec now)
 {
 	tgt->trust = TRUST_DEAD;
+	if (st->opts.credit)
+		credit_note_dead(st->opts.credit, tgt);
 	g_hash_table_insert(st->latest_deaths, GUINT_TO_POINTER(tgt->data_centre),
 			    g_memdup2(&now, sizeof(now)));
 	st->opts.counters->targets_dead++;
