t: test credits of an instance and the openings that wait for them

They found that one returned credit in a calm second predicted a wait of 1 s: the rate that follows from the response time is now used if it is higher.

--- a/credit/account.c
+++ b/credit/account.c
@@ -453,9 +453,18 @@
 	return acc->urgent;
 }
 
+/* At least 1: an expected time of more than a second is not an unknown one. */
+static uint32_t rate_of(uint32_t in_use, uint32_t mean_us)
+{
+	uint64_t us = (uint64_t)in_use * USEC_PER_MSEC * MSEC_PER_SEC;
+
+	return MAX((uint32_t)((us + mean_us / 2) / mean_us), 1u);
+}
+
 /*
- * Credits that come back in a second. When fewer came back than are held, they were not all in use
- * during that second, and the rate follows from the response time.
+ * Credits that come back in a second; 0 only before the first answer. Those of the last second are
+ * too few when not all credits were in use then, so the rate that follows from the requests in
+ * progress and the response time is used if it is higher.
  */
 static uint32_t return_rate(struct service_account *svc, const struct credit_status *status,
 			    struct timespec now)
@@ -465,10 +474,9 @@
 	advance_returns(svc, now);
 	for (size_t i = 0; i < RETURN_BUCKETS; i++)
 		sum += svc->returns[i];
-	if (sum < status->held && svc->mean_us)
-		sum = MAX(sum, (uint32_t)((uint64_t)MIN(status->in_use, status->held) *
-					  USEC_PER_MSEC * MSEC_PER_SEC / svc->mean_us));
-	return sum;
+	if (!svc->mean_us)
+		return sum;
+	return MAX(sum, rate_of(MIN(status->in_use, status->held), svc->mean_us));
 }
 
 void credit_status(const struct credit_account *acc, uint32_t service, struct timespec now,
--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -54,7 +54,10 @@
 /* Calls @fn for each service with openings that wait. @fn may remove openings. */
 void backlog_each_service(struct backlog *bl, void (*fn)(uint32_t service, void *arg), void *arg);
 
-/* Milliseconds that an opening of @priority would wait if @returned_per_s credits come back. */
+/*
+ * Milliseconds that an opening of @priority would wait if @returned_per_s credits come back;
+ * INT64_MAX for 0.
+ */
 int64_t backlog_predict_ms(const struct backlog *bl, uint32_t service, uint32_t priority,
 			   uint32_t returned_per_s);
 /* Longest wait of an opening, in milliseconds; 0 if it must not wait. */
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -265,6 +265,13 @@
 	return figures;
 }
 
+/* Before the first answer, nothing is predicted: openings wait for their limit at most. */
+static bool is_too_long(const struct wait_figures *fig)
+{
+	return !fig->limit_ms ||
+	       (fig->predicted_ms != INT64_MAX && fig->predicted_ms > fig->limit_ms);
+}
+
 static long long shown_ms(int64_t predicted_ms)
 {
 	return predicted_ms == INT64_MAX ? -1 : (long long)predicted_ms;
@@ -387,7 +394,7 @@
 	}
 	fig = get_figures(sc, service, &rule->admission, now);
 	sc->pass_due = true;
-	if (fig.predicted_ms > fig.limit_ms || !begin_wait(st, flow, rule, &fig, now))
+	if (is_too_long(&fig) || !begin_wait(st, flow, rule, &fig, now))
 		refuse_waiting(st, flow, RESET_NO_ROOM, now);
 }
 
@@ -494,7 +501,7 @@
 	struct flow_addr addr = { pkt->caller, pkt->service };
 	struct steer_flow *flow = NULL;
 
-	if (fig.predicted_ms <= fig.limit_ms)
+	if (!is_too_long(&fig))
 		flow = steer_flow_add_opening(st, pkt, now);
 	if (flow && begin_wait(st, flow, rule, &fig, now))
 		return;
--- /dev/null
+++ b/t/test-credit.c
@@ -0,0 +1,774 @@
+/*
+ * Tests the holder's side of credits without a steer: the choice of a target with a free credit,
+ * grants, reports, and the backlog of openings that wait.
+ */
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "credit/account.h"
+#include "credit/backlog.h"
+#include "random.h"
+#include "timeutil.h"
+
+#define START_S	    1000
+#define HOME	    100 /* symbols */
+#define AWAY	    101
+#define WEB	    1
+#define OTHER	    2
+#define TARGETS_MAX 4
+
+struct fixture {
+	struct registry *reg;
+	struct credit_account *acc;
+	struct edge_counters counters;
+	struct placing placing;
+	struct seeded_random random;
+	struct route_rule rule;
+	struct timespec now;
+};
+
+static void set_up(struct fixture *fix)
+{
+	struct placing_options opts = {
+		.data_centre = HOME,
+		.remote_percent = 100,
+		.cold_gap_ms = 1000,
+	};
+
+	*fix = (struct fixture){ .now = { .tv_sec = START_S } };
+	fix->reg = registry_new();
+	fix->acc = credit_account_new(fix->reg, &fix->counters);
+	seeded_random_init(&fix->random, 1);
+	opts.registry = fix->reg;
+	opts.random = &fix->random.random;
+	placing_init(&fix->placing, &opts);
+	fix->rule = (struct route_rule){
+		.services = { { .service = WEB, .weight = 1 } },
+		.nr_services = 1,
+		.weight_sum = 1,
+		.admission = { .goal_ms = 300, .priority = 1 },
+	};
+}
+
+static void tear_down(struct fixture *fix)
+{
+	credit_account_free(fix->acc);
+	placing_release(&fix->placing);
+	registry_free(fix->reg);
+}
+
+static struct reg_target *put_target(struct fixture *fix, const char *id, uint32_t data_centre,
+				     uint32_t cold_ms, bool draining)
+{
+	struct target_info info = {
+		.id = id,
+		.service = WEB,
+		.data_centre = data_centre,
+		.slots = 2,
+		.cold_ms = cold_ms,
+		.draining = draining,
+	};
+
+	registry_put(fix->reg, &info, fix->now);
+	return registry_by_id(fix->reg, id);
+}
+
+static struct reg_target *choose(struct fixture *fix, uint64_t digest, struct reg_target *tried,
+				 bool *usable)
+{
+	struct placing_request req = { .rule = &fix->rule, .now = fix->now, .flow_digest = digest };
+
+	if (tried)
+		req.tried[req.nr_tried++] = tried;
+	return credit_choose(fix->acc, WEB, &fix->placing, &req, usable);
+}
+
+struct entry {
+	const char *id; /* NULL: unknown target */
+	uint8_t slots;
+	uint8_t queue;
+	uint16_t speed;
+	bool lent;
+};
+
+static void grant(struct fixture *fix, const struct entry *entries, size_t nr)
+{
+	struct credit_service_grant *svc;
+	struct credit_grant gr;
+
+	credit_grant_init(&gr);
+	svc = credit_grant_add(&gr, WEB);
+	for (size_t i = 0; i < nr && entries[i].id; i++) {
+		struct reg_target *tgt = registry_by_id(fix->reg, entries[i].id);
+		struct credit_entry entry = {
+			.target = tgt ? tgt->digest : 4711,
+			.slots = entries[i].slots,
+			.queue = entries[i].queue,
+			.speed_permille = entries[i].speed ? entries[i].speed : 1000,
+			.lent = entries[i].lent,
+		};
+
+		g_array_append_val(svc->entries, entry);
+	}
+	credit_apply_grant(fix->acc, &gr, fix->now);
+	credit_grant_release(&gr);
+}
+
+/* Targets a and b; the ids of the choices in order, "-" for none, "!" for none usable. */
+static const struct choice_case {
+	const char *name;
+	struct entry entries[TARGETS_MAX];
+	const char *expected;
+	uint32_t cold_a_ms;
+	enum target_trust trust_a;
+	bool draining_a;
+	bool withdrawn_a;
+	bool tried_a;
+	bool gone_a;
+	bool cold_limited;
+} choice_cases[] = {
+	{ .name = "own-slot-then-lent-slot-then-own-queue-then-lent-queue",
+	  .entries = { { "a", 1, 1, 0, true }, { "b", 1, 1, 0, false } },
+	  .expected = "b a b a -" },
+	{ .name = "slots-before-queues",
+	  .entries = { { "a", 1, 2, 0, false }, { "b", 2, 1, 0, false } },
+	  .expected = "* * b a * * -" },
+	{ .name = "by-speed",
+	  .entries = { { "a", 20, 0, 500, false }, { "b", 40, 0, 1000, false } },
+	  .expected = "* * b * * b * * b * * b" },
+	{ .name = "cold-after-warm",
+	  .entries = { { "a", 2, 0, 0, false }, { "b", 1, 1, 0, false } },
+	  .expected = "b b a a -",
+	  .cold_a_ms = 5000 },
+	/* Two openings in a second exceed the rate that the service configures for cold targets. */
+	{ .name = "cold-limited-once",
+	  .entries = { { "a", 2, 0, 0, false } },
+	  .expected = "a !",
+	  .cold_a_ms = 5000,
+	  .cold_limited = true },
+	{ .name = "not-suspected",
+	  .entries = { { "a", 2, 0, 0, false }, { "b", 1, 0, 0, false } },
+	  .expected = "b -",
+	  .trust_a = TRUST_SUSPECTED },
+	{ .name = "not-dead",
+	  .entries = { { "a", 2, 0, 0, false } },
+	  .expected = "!",
+	  .trust_a = TRUST_DEAD },
+	{ .name = "not-draining",
+	  .entries = { { "a", 2, 0, 0, false } },
+	  .expected = "!",
+	  .draining_a = true },
+	{ .name = "not-withdrawn",
+	  .entries = { { "a", 2, 0, 0, false }, { "b", 1, 0, 0, false } },
+	  .expected = "b -",
+	  .withdrawn_a = true },
+	{ .name = "not-tried",
+	  .entries = { { "a", 2, 0, 0, false }, { "b", 1, 0, 0, false } },
+	  .expected = "b -",
+	  .tried_a = true },
+	{ .name = "not-gone",
+	  .entries = { { "a", 2, 0, 0, false } },
+	  .expected = "!",
+	  .gone_a = true },
+	{ .name = "unknown-targets-are-ignored",
+	  .entries = { { "x", 2, 0, 0, false }, { "b", 1, 0, 0, false } },
+	  .expected = "b -" },
+	{ .name = "no-credits-at-all", .expected = "!" },
+	{ .name = "two-entries-of-one-target-add-up",
+	  .entries = { { "a", 1, 0, 0, false }, { "a", 1, 0, 0, true } },
+	  .expected = "a a -" },
+};
+
+static void test_choice(gconstpointer data)
+{
+	const struct choice_case *c = data;
+	char **expected = g_strsplit(c->expected, " ", 0);
+	struct reg_target *a;
+	struct fixture fix;
+
+	set_up(&fix);
+	fix.rule.services[0].cold_rate_limited = c->cold_limited;
+	a = put_target(&fix, "a", AWAY, c->cold_a_ms, c->draining_a);
+	put_target(&fix, "b", HOME, 0, false);
+	grant(&fix, c->entries, TARGETS_MAX);
+	a->trust = c->trust_a;
+	if (c->withdrawn_a)
+		placing_withdraw(&fix.placing, AWAY, true);
+	if (c->gone_a)
+		registry_remove(fix.reg, "a", 0, fix.now);
+	for (char **want = expected; *want; want++) {
+		bool usable;
+		struct reg_target *tgt =
+			choose(&fix, (uint64_t)(want - expected), c->tried_a ? a : NULL, &usable);
+
+		if (!strcmp(*want, "-") || !strcmp(*want, "!")) {
+			g_assert_null(tgt);
+			g_assert_cmpint(usable, ==, **want == '-');
+			continue;
+		}
+		g_assert_nonnull(tgt);
+		g_assert_true(usable);
+		if (**want != '*')
+			g_assert_cmpstr(tgt->id->str, ==, *want);
+		credit_take(fix.acc, tgt, fix.now);
+	}
+	tear_down(&fix);
+	g_strfreev(expected);
+}
+
+/* Guards against a faster target that gets no more than a slow one, and against its opposite. */
+static void test_round_robin(void)
+{
+	static const struct entry entries[] = { { "a", 2, 0, 500, false },
+						{ "b", 2, 0, 1500, false } };
+	unsigned int nr_a = 0;
+	struct reg_target *a;
+	struct fixture fix;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	put_target(&fix, "b", HOME, 0, false);
+	grant(&fix, entries, 2);
+	for (uint64_t i = 0; i < 400; i++) {
+		bool usable;
+		struct reg_target *tgt = choose(&fix, i * 7, NULL, &usable);
+
+		nr_a += tgt == a;
+		credit_take(fix.acc, tgt, fix.now);
+		credit_return(fix.acc, tgt, CREDIT_ANSWERED, 10, fix.now);
+	}
+	g_assert_cmpuint(nr_a, >=, 98);
+	g_assert_cmpuint(nr_a, <=, 102);
+	tear_down(&fix);
+}
+
+/* A target that returns after a time without openings must not get all of them. */
+static void test_return_of_target(void)
+{
+	static const struct entry entries[] = { { "a", 50, 0, 0, false },
+						{ "b", 50, 0, 0, false } };
+	unsigned int nr_a = 0;
+	struct reg_target *a;
+	struct reg_target *b;
+	struct fixture fix;
+	bool usable;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	b = put_target(&fix, "b", HOME, 0, false);
+	grant(&fix, entries, 2);
+	a->trust = TRUST_SUSPECTED;
+	for (uint64_t i = 0; i < 100; i++) {
+		g_assert_true(choose(&fix, i, NULL, &usable) == b);
+		credit_take(fix.acc, b, fix.now);
+		credit_return(fix.acc, b, CREDIT_ANSWERED, 10, fix.now);
+	}
+	a->trust = TRUST_ALIVE;
+	for (uint64_t i = 0; i < 20; i++) {
+		struct reg_target *tgt = choose(&fix, i, NULL, &usable);
+
+		nr_a += tgt == a;
+		credit_take(fix.acc, tgt, fix.now);
+	}
+	g_assert_cmpuint(nr_a, >=, 10);
+	g_assert_cmpuint(nr_a, <=, 13);
+	tear_down(&fix);
+}
+
+/* Instances with equal grants, which arrive at once, must not all begin with the same target. */
+static void test_first_choices(void)
+{
+	static const struct entry entries[] = { { "a", 2, 0, 0, false },
+						{ "b", 2, 0, 0, false },
+						{ "c", 2, 0, 0, false },
+						{ "d", 2, 0, 0, false } };
+	unsigned int counts[4] = { 0 };
+
+	for (uint64_t i = 0; i < 400; i++) {
+		uint64_t digest = i * 0x9e3779b97f4a7c15u >> 7;
+		struct fixture fix;
+		bool usable;
+
+		set_up(&fix);
+		for (char id[] = "a"; *id <= 'd'; (*id)++)
+			put_target(&fix, id, HOME, 0, false);
+		grant(&fix, entries, 4);
+		counts[choose(&fix, digest, NULL, &usable)->id->str[0] - 'a']++;
+		tear_down(&fix);
+	}
+	for (size_t i = 0; i < 4; i++)
+		g_assert_cmpuint(counts[i], <=, 125);
+}
+
+static void test_expiry(void)
+{
+	static const struct entry entries[] = { { "a", 1, 0, 0, false } };
+	struct credit_status status;
+	struct fixture fix;
+	bool usable;
+
+	set_up(&fix);
+	put_target(&fix, "a", HOME, 0, false);
+	g_assert_false(credit_active(fix.acc, WEB, fix.now));
+	grant(&fix, entries, 1);
+	g_assert_true(credit_active(fix.acc, WEB, fix.now));
+	g_assert_false(credit_active(fix.acc, OTHER, fix.now));
+	fix.now = ts_add_ms(fix.now, CREDIT_GRANT_LIFE_MS);
+	g_assert_true(credit_active(fix.acc, WEB, fix.now));
+	credit_status(fix.acc, WEB, fix.now, &status);
+	g_assert_cmpint(status.age_ms, ==, CREDIT_GRANT_LIFE_MS);
+	g_assert_cmpuint(status.held, ==, 1);
+	fix.now = ts_add_ms(fix.now, 1);
+	g_assert_false(credit_active(fix.acc, WEB, fix.now));
+	g_assert_null(choose(&fix, 0, NULL, &usable));
+	g_assert_false(usable);
+	credit_status(fix.acc, WEB, fix.now, &status);
+	g_assert_cmpint(status.age_ms, ==, -1);
+	g_assert_cmpuint(status.held, ==, 0);
+	grant(&fix, entries, 1);
+	credit_drop_grants(fix.acc);
+	g_assert_false(credit_active(fix.acc, WEB, fix.now));
+	tear_down(&fix);
+}
+
+/* A target with more requests than the credits left gets nothing until it is below them. */
+static void test_shrinking_grant(void)
+{
+	static const struct entry before[] = { { "a", 3, 0, 0, false } };
+	static const struct entry after[] = { { "a", 1, 1, 0, false } };
+	struct reg_target *a;
+	struct fixture fix;
+	bool usable;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	grant(&fix, before, 1);
+	for (int i = 0; i < 3; i++)
+		credit_take(fix.acc, a, fix.now);
+	grant(&fix, after, 1);
+	for (int i = 0; i < 2; i++) {
+		g_assert_null(choose(&fix, 0, NULL, &usable));
+		g_assert_true(usable);
+		credit_return(fix.acc, a, CREDIT_ANSWERED, 10, fix.now);
+	}
+	g_assert_true(choose(&fix, 0, NULL, &usable) == a);
+	tear_down(&fix);
+}
+
+/* A grant replaces the one before: services and targets that it does not name have no credits. */
+static void test_replacing_grant(void)
+{
+	static const struct entry one[] = { { "a", 1, 0, 0, false } };
+	struct credit_grant none;
+	struct fixture fix;
+
+	set_up(&fix);
+	put_target(&fix, "a", HOME, 0, false);
+	grant(&fix, one, 1);
+	credit_grant_init(&none);
+	credit_grant_add(&none, OTHER);
+	credit_apply_grant(fix.acc, &none, fix.now);
+	credit_grant_release(&none);
+	g_assert_false(credit_active(fix.acc, WEB, fix.now));
+	g_assert_true(credit_active(fix.acc, OTHER, fix.now));
+	tear_down(&fix);
+}
+
+static struct credit_report collect(struct fixture *fix)
+{
+	struct credit_report rep;
+
+	credit_report_init(&rep);
+	credit_collect(fix->acc, &rep, fix->now);
+	return rep;
+}
+
+/* Observations are reported once; the busy time is counted also while a request is in progress. */
+static void test_collect(void)
+{
+	const struct credit_observation *obs;
+	const struct credit_demand *demand;
+	struct credit_report rep;
+	struct reg_target *a;
+	struct fixture fix;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	credit_note_opening(fix.acc, WEB, 1);
+	credit_note_opening(fix.acc, WEB, 9);
+	credit_note_reuse(fix.acc, WEB);
+	credit_set_waiting(fix.acc, WEB, 3);
+	credit_take(fix.acc, a, fix.now);
+	credit_take(fix.acc, a, fix.now);
+	credit_note_overdue(fix.acc, a);
+	fix.now = ts_add_ms(fix.now, 100);
+	credit_return(fix.acc, a, CREDIT_ANSWERED, 100, fix.now);
+	fix.now = ts_add_ms(fix.now, 50);
+	rep = collect(&fix);
+	g_assert_cmpuint(rep.demands->len, ==, 1);
+	demand = &g_array_index(rep.demands, struct credit_demand, 0);
+	g_assert_cmpuint(demand->service, ==, WEB);
+	g_assert_cmpuint(demand->openings[1], ==, 1);
+	g_assert_cmpuint(demand->openings[3], ==, 1);
+	g_assert_cmpuint(demand->reused, ==, 1);
+	g_assert_cmpuint(demand->waiting, ==, 3);
+	g_assert_cmpuint(rep.observations->len, ==, 1);
+	obs = &g_array_index(rep.observations, struct credit_observation, 0);
+	g_assert_cmpuint(obs->target, ==, a->digest);
+	g_assert_cmpuint(obs->completed, ==, 1);
+	g_assert_cmpuint(obs->overdue, ==, 1);
+	g_assert_cmpuint(obs->busy_ms, ==, 2 * 100 + 50);
+	credit_report_release(&rep);
+
+	credit_set_waiting(fix.acc, WEB, 0);
+	fix.now = ts_add_ms(fix.now, 20);
+	credit_return(fix.acc, a, CREDIT_FAILED, 170, fix.now);
+	fix.now = ts_add_ms(fix.now, 30);
+	rep = collect(&fix);
+	g_assert_cmpuint(rep.interval_ms, ==, 50);
+	g_assert_cmpuint(rep.demands->len, ==, 0);
+	g_assert_cmpuint(rep.observations->len, ==, 1);
+	obs = &g_array_index(rep.observations, struct credit_observation, 0);
+	g_assert_cmpuint(obs->completed, ==, 0);
+	g_assert_cmpuint(obs->overdue, ==, 0);
+	g_assert_cmpuint(obs->failed, ==, 1);
+	g_assert_cmpuint(obs->busy_ms, ==, 20);
+	credit_report_release(&rep);
+
+	rep = collect(&fix);
+	g_assert_cmpuint(rep.demands->len, ==, 0);
+	g_assert_cmpuint(rep.observations->len, ==, 0);
+	credit_report_release(&rep);
+	tear_down(&fix);
+}
+
+/* A death is reported urgently, and again while it lasts: reports are believed for a second. */
+static void test_death(void)
+{
+	struct credit_report rep;
+	struct reg_target *a;
+	struct fixture fix;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	g_assert_false(credit_report_urgent(fix.acc));
+	a->trust = TRUST_DEAD;
+	credit_note_dead(fix.acc, a);
+	g_assert_true(credit_report_urgent(fix.acc));
+	for (int i = 0; i < 2; i++) {
+		rep = collect(&fix);
+		g_assert_false(credit_report_urgent(fix.acc));
+		g_assert_cmpuint(rep.observations->len, ==, 1);
+		g_assert_true(g_array_index(rep.observations, struct credit_observation, 0).dead);
+		credit_report_release(&rep);
+	}
+	a->trust = TRUST_ALIVE;
+	rep = collect(&fix);
+	g_assert_cmpuint(rep.observations->len, ==, 0);
+	credit_report_release(&rep);
+	tear_down(&fix);
+}
+
+/* A target may be freed between its last observation and the report. */
+static void test_freed_target(void)
+{
+	static const struct entry entries[] = { { "a", 1, 0, 0, false } };
+	struct credit_report rep;
+	struct reg_target *a;
+	struct fixture fix;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	grant(&fix, entries, 1);
+	credit_take(fix.acc, a, fix.now);
+	credit_return(fix.acc, a, CREDIT_REJECTED, 5, fix.now);
+	registry_remove(fix.reg, "a", 0, fix.now);
+	fix.now = ts_add_ms(fix.now, 60000);
+	registry_sweep(fix.reg, fix.now, 60000);
+	g_assert_cmpuint(registry_count(fix.reg), ==, 0);
+	rep = collect(&fix);
+	g_assert_cmpuint(rep.observations->len, ==, 0);
+	credit_report_release(&rep);
+	grant(&fix, entries, 1);
+	tear_down(&fix);
+}
+
+static void test_rates(void)
+{
+	static const struct entry entries[] = { { "a", 2, 0, 0, false } };
+	struct credit_status status;
+	struct reg_target *a;
+	struct fixture fix;
+
+	set_up(&fix);
+	a = put_target(&fix, "a", HOME, 0, false);
+	grant(&fix, entries, 1);
+	g_assert_cmpint(credit_overdue_ms(fix.acc, WEB), ==, 200);
+	for (int i = 0; i < 10; i++) {
+		credit_take(fix.acc, a, fix.now);
+		credit_return(fix.acc, a, CREDIT_ANSWERED, 50, fix.now);
+		fix.now = ts_add_ms(fix.now, 100);
+	}
+	g_assert_cmpint(credit_overdue_ms(fix.acc, WEB), ==, 400);
+	credit_status(fix.acc, WEB, fix.now, &status);
+	g_assert_cmpuint(status.returned_per_s, >=, 9);
+	g_assert_cmpuint(status.returned_per_s, <=, 10);
+	/* A credit that is moved is not free for a waiting opening. */
+	credit_take(fix.acc, a, fix.now);
+	credit_return(fix.acc, a, CREDIT_MOVED, 0, fix.now);
+	fix.now = ts_add_ms(fix.now, 2000);
+	credit_status(fix.acc, WEB, fix.now, &status);
+	g_assert_cmpuint(status.returned_per_s, ==, 1);
+	/* After a calm second, the rate follows from the response time: 2 credits of 50 ms. */
+	grant(&fix, entries, 1);
+	credit_take(fix.acc, a, fix.now);
+	credit_take(fix.acc, a, fix.now);
+	credit_status(fix.acc, WEB, fix.now, &status);
+	g_assert_cmpuint(status.returned_per_s, >=, 38);
+	g_assert_cmpuint(status.returned_per_s, <=, 40);
+	tear_down(&fix);
+}
+
+/* Backlog */
+
+static struct backlog_item *new_item(uint32_t service, uint32_t priority, uint32_t caller)
+{
+	struct backlog_item *item = g_new0(struct backlog_item, 1);
+
+	*item = (struct backlog_item){
+		.service = service,
+		.priority = priority,
+		.caller = caller,
+		.size = 100,
+		.since = { .tv_sec = START_S },
+		.limit_ms = 150,
+	};
+	item->link.data = item;
+	return item;
+}
+
+static void drain(struct backlog *bl)
+{
+	struct backlog_item *item;
+
+	while ((item = backlog_first(bl))) {
+		backlog_remove(bl, item);
+		g_free(item);
+	}
+	g_assert_cmpuint(backlog_count(bl), ==, 0);
+	backlog_free(bl);
+}
+
+/* The oldest of the highest priority first, one in 16 of the next lower, one in 256 two lower. */
+static void test_backlog_order(void)
+{
+	unsigned int placed[CREDIT_PRIORITIES] = { 0 };
+	struct backlog *bl = backlog_new();
+	uint32_t next_caller[CREDIT_PRIORITIES] = { 0 };
+
+	for (uint32_t i = 0; i < 300; i++) {
+		g_assert_true(backlog_add(bl, new_item(WEB, 1, i)));
+		g_assert_true(backlog_add(bl, new_item(WEB, 2, i)));
+		g_assert_true(backlog_add(bl, new_item(WEB, 3, i)));
+	}
+	g_assert_true(backlog_add(bl, new_item(OTHER, 0, 0)));
+	for (unsigned int i = 0; i < 256; i++) {
+		struct backlog_item *item = backlog_next(bl, WEB);
+
+		g_assert_true(item == backlog_next(bl, WEB));
+		g_assert_cmpuint(item->caller, ==, next_caller[item->priority]++);
+		placed[item->priority]++;
+		backlog_placed(bl, item);
+		g_free(item);
+		if (i == 14)
+			g_assert_cmpuint(placed[2], ==, 0);
+		if (i == 15)
+			g_assert_cmpuint(placed[2], ==, 1);
+	}
+	g_assert_cmpuint(placed[1], ==, 240);
+	g_assert_cmpuint(placed[2], ==, 15);
+	g_assert_cmpuint(placed[3], ==, 1);
+	g_assert_cmpuint(backlog_waiting(bl, WEB, 1), ==, 60);
+	g_assert_cmpuint(backlog_waiting(bl, OTHER, 0), ==, 1);
+	drain(bl);
+}
+
+/* Placements while only one priority waits must not save up a turn for a lower one. */
+static void test_backlog_turns(void)
+{
+	struct backlog *bl = backlog_new();
+	struct backlog_item *item;
+
+	for (uint32_t i = 0; i < 30; i++)
+		backlog_add(bl, new_item(WEB, 0, i));
+	for (int i = 0; i < 15; i++) {
+		item = backlog_next(bl, WEB);
+		backlog_placed(bl, item);
+		g_free(item);
+	}
+	backlog_add(bl, new_item(WEB, 2, 0));
+	for (int i = 0; i < 15; i++) {
+		item = backlog_next(bl, WEB);
+		g_assert_cmpuint(item->priority, ==, 0);
+		backlog_placed(bl, item);
+		g_free(item);
+	}
+	drain(bl);
+}
+
+static void test_backlog_callers(void)
+{
+	struct backlog *bl = backlog_new();
+	struct backlog_item *item;
+
+	for (int i = 0; i < 8; i++)
+		g_assert_true(backlog_add(bl, new_item(WEB, 1, 7)));
+	item = new_item(WEB, 1, 7);
+	g_assert_false(backlog_add(bl, item));
+	g_assert_false(backlog_is_full(bl, item->size));
+	/* Its openings of another priority have a share of their own. */
+	item->priority = 2;
+	g_assert_true(backlog_add(bl, item));
+	/* Others are not kept out, and its share grows with the queue. */
+	for (uint32_t i = 0; i < 27; i++)
+		g_assert_true(backlog_add(bl, new_item(WEB, 1, 100 + i)));
+	g_assert_true(backlog_add(bl, new_item(WEB, 1, 7)));
+	item = new_item(WEB, 1, 7);
+	g_assert_false(backlog_add(bl, item));
+	g_free(item);
+	drain(bl);
+}
+
+static const struct bound_case {
+	const char *name;
+	size_t size;
+	uint32_t fits;
+} bound_cases[] = {
+	{ "number", 100, 1400 },
+	{ "bytes", 10240, 102 },
+};
+
+static void test_backlog_bounds(gconstpointer data)
+{
+	const struct bound_case *c = data;
+	struct backlog *bl = backlog_new();
+	struct backlog_item *item;
+
+	for (uint32_t i = 0; i < c->fits; i++) {
+		item = new_item(WEB, i % 2 ? 1 : 2, i);
+		item->size = c->size;
+		item->since = ts_from_ms(1000 + i);
+		g_assert_true(backlog_add(bl, item));
+	}
+	item = new_item(WEB, 1, 9999);
+	item->size = c->size;
+	g_assert_true(backlog_is_full(bl, item->size));
+	g_assert_false(backlog_add(bl, item));
+	g_assert_false(item->queued);
+	g_free(item);
+	/* The latest one of the lowest priority makes room; nothing does for the lowest. */
+	g_assert_null(backlog_latest_below(bl, 2));
+	item = backlog_latest_below(bl, 1);
+	g_assert_cmpuint(item->priority, ==, 2);
+	g_assert_cmpuint(item->caller, ==, (c->fits - 1) / 2 * 2);
+	backlog_remove(bl, item);
+	g_free(item);
+	item = new_item(WEB, 1, 9999);
+	item->size = c->size;
+	g_assert_true(backlog_add(bl, item));
+	drain(bl);
+}
+
+static void test_backlog_expiry(void)
+{
+	struct timespec now = { .tv_sec = START_S };
+	struct backlog *bl = backlog_new();
+	struct backlog_item *later = new_item(WEB, 1, 2);
+	struct backlog_item *item;
+
+	backlog_add(bl, new_item(WEB, 1, 1));
+	/* Routes of the same service may have different goals. */
+	later->limit_ms = 50;
+	backlog_add(bl, later);
+	g_assert_null(backlog_expired(bl, ts_add_ms(now, 49)));
+	g_assert_true(backlog_expired(bl, ts_add_ms(now, 50)) == later);
+	backlog_remove(bl, later);
+	g_free(later);
+	g_assert_null(backlog_expired(bl, ts_add_ms(now, 149)));
+	item = backlog_expired(bl, ts_add_ms(now, 150));
+	g_assert_cmpuint(item->caller, ==, 1);
+	drain(bl);
+}
+
+static const struct limit_case {
+	struct admission_class cls;
+	int64_t limit_ms;
+} limit_cases[] = {
+	{ { .goal_ms = 300, .priority = 1, .timeout_ms = 1500 }, 150 },
+	{ { .goal_ms = 300, .priority = 0, .timeout_ms = 1500 }, 150 },
+	{ { .goal_ms = 300, .priority = 2, .timeout_ms = 1500 }, 75 },
+	{ { .goal_ms = 600, .priority = 9, .timeout_ms = 4000 }, 150 },
+	{ { .goal_ms = 600, .priority = 1, .timeout_ms = 400 }, 200 },
+	{ { .goal_ms = 600, .priority = 1, .timeout_ms = 0 }, 300 },
+	{ { .goal_ms = 9000, .priority = 1, .timeout_ms = 20000 }, 1300 },
+	{ { .goal_ms = 0, .priority = 1, .timeout_ms = 4000 }, 0 },
+};
+
+static void test_backlog_limits(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(limit_cases); i++)
+		g_assert_cmpint(backlog_limit_ms(&limit_cases[i].cls), ==, limit_cases[i].limit_ms);
+}
+
+static void test_backlog_prediction(void)
+{
+	struct backlog *bl = backlog_new();
+
+	g_assert_cmpint(backlog_predict_ms(bl, WEB, 1, 10), ==, 100);
+	g_assert_cmpint(backlog_predict_ms(bl, WEB, 1, 0), ==, INT64_MAX);
+	for (uint32_t i = 0; i < 3; i++) {
+		backlog_add(bl, new_item(WEB, 1, i));
+		backlog_add(bl, new_item(WEB, 2, i));
+		backlog_add(bl, new_item(OTHER, 1, i));
+	}
+	g_assert_cmpint(backlog_predict_ms(bl, WEB, 0, 10), ==, 100);
+	g_assert_cmpint(backlog_predict_ms(bl, WEB, 1, 10), ==, 400);
+	g_assert_cmpint(backlog_predict_ms(bl, WEB, 2, 10), ==, 700);
+	drain(bl);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_assert_cmpint(sodium_init(), >=, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(choice_cases); i++) {
+		char *path = g_strconcat("/credit/choice/", choice_cases[i].name, NULL);
+
+		g_test_add_data_func(path, &choice_cases[i], test_choice);
+		g_free(path);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(bound_cases); i++) {
+		char *path = g_strconcat("/credit/backlog/bound/", bound_cases[i].name, NULL);
+
+		g_test_add_data_func(path, &bound_cases[i], test_backlog_bounds);
+		g_free(path);
+	}
+	g_test_add_func("/credit/choice/round-robin-by-speed", test_round_robin);
+	g_test_add_func("/credit/choice/a-target-that-returns", test_return_of_target);
+	g_test_add_func("/credit/choice/first-choices-differ", test_first_choices);
+	g_test_add_func("/credit/grant/expiry", test_expiry);
+	g_test_add_func("/credit/grant/shrinks", test_shrinking_grant);
+	g_test_add_func("/credit/grant/replaces", test_replacing_grant);
+	g_test_add_func("/credit/report/once", test_collect);
+	g_test_add_func("/credit/report/death", test_death);
+	g_test_add_func("/credit/report/freed-target", test_freed_target);
+	g_test_add_func("/credit/report/rates", test_rates);
+	g_test_add_func("/credit/backlog/order", test_backlog_order);
+	g_test_add_func("/credit/backlog/turns", test_backlog_turns);
+	g_test_add_func("/credit/backlog/callers", test_backlog_callers);
+	g_test_add_func("/credit/backlog/expiry", test_backlog_expiry);
+	g_test_add_func("/credit/backlog/limits", test_backlog_limits);
+	g_test_add_func("/credit/backlog/prediction", test_backlog_prediction);
+	return g_test_run();
+}
