--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -19,9 +19,10 @@
 	struct timespec next_sweep;
 };
 
+/* It is empty: all flows have been removed. */
 static void free_queue(void *arg)
 {
-	g_free(arg);
+	g_queue_free(arg);
 }
 
 void steer_credit_init(struct steer *st)
