--- a/t/test-load.c
+++ b/t/test-load.c
@@ -1,13 +1,14 @@
 /*
- * Tests admission control by a simulation of callers, instances and targets under load: openings
- * that the targets cannot serve in time must be refused, lowest priority first, so that admitted
- * requests are answered within their goal. Targets have slots and a queue; callers retry.
+ * Tests admission control and credits by a simulation of callers, instances and targets under load:
+ * openings that the targets cannot serve in time must be refused, lowest priority first, so that
+ * admitted requests are answered within their goal. Targets have slots and a queue; callers retry.
  */
 #include <glib.h>
 #include <sodium.h>
 #include <string.h>
 
 #include "beliefs.h"
+#include "credit/account.h"
 #include "random.h"
 #include "timeutil.h"
 
@@ -27,9 +28,11 @@
 #define SERVICE_IP	0xc6120001u
 #define CALLER_IP	0x64400000u
 #define NOT_BEGUN	INT64_MAX
+#define GRANT_MS	250 /* interval of grants */
 
 enum step {
 	STEP_OPEN,     /* the opening reaches an instance */
+	STEP_UNPLACED, /* the opening waits at its instance */
 	STEP_REQUEST,  /* the request reaches the instance */
 	STEP_ARRIVE,   /* the request reaches its target */
 	STEP_WAIT,     /* the request waits or is processed at the target */
@@ -42,6 +45,7 @@
 struct tally {
 	unsigned int requests, in_goal, lost;
 	unsigned int admitted, admitted_in_goal; /* of all tries */
+	unsigned int rejected;			 /* by targets */
 };
 
 struct attempt {
@@ -55,6 +59,7 @@
 	enum step step;
 	int target;
 	bool rejected;
+	bool was_reset;
 };
 
 struct sim;
@@ -70,8 +75,8 @@
 	struct seeded_random random;
 	GQueue queues[TARGETS]; /* struct attempt; the first TARGET_SLOTS are being processed */
 	GQueue attempts;
-	struct attempt *current; /* whose packet is being handled */
 	unsigned int callers;
+	bool credits;
 	int64_t now_ms;
 	struct tally warm_up; /* of requests before WARM_UP_MS, which are not checked */
 	struct tally high;
@@ -83,22 +88,71 @@
 	return ts_from_ms(1000000 + sim->now_ms);
 }
 
+static void next(struct sim *sim, struct attempt *at, enum step step, int64_t after_ms)
+{
+	at->step = step;
+	at->due_ms = sim->now_ms + after_ms;
+}
+
+static void retry(struct sim *sim, struct attempt *at)
+{
+	if (at->tries == RETRIES) {
+		at->tally->lost++;
+		at->step = STEP_END;
+		return;
+	}
+	at->tries++;
+	next(sim, at, STEP_RETRY, BACKOFF_MS);
+}
+
+static void place(struct sim *sim, struct attempt *at)
+{
+	at->tally->admitted++;
+	next(sim, at, STEP_REQUEST, 3 * HOP_MS);
+}
+
+/* The attempt of a packet that contains the addresses of its flow; NULL if it has ended. */
+static struct attempt *find_attempt(struct sim *sim, const uint8_t *bytes, size_t size)
+{
+	struct flow_addr addr;
+
+	g_assert_cmpuint(size, ==, sizeof(addr));
+	memcpy(&addr, bytes, sizeof(addr));
+	for (GList *link = sim->attempts.head; link; link = link->next) {
+		struct attempt *at = link->data;
+
+		if (endpoint_equal(at->addr.caller, addr.caller))
+			return at;
+	}
+	return NULL;
+}
+
 static void out_forward(struct steer_out *out, const struct reg_target *tgt, uint32_t mark,
 			const uint8_t *bytes, size_t size)
 {
 	struct sim *sim = ((struct sim_instance *)out)->sim;
 
+	struct attempt *at = find_attempt(sim, bytes, size);
+
 	(void)mark;
-	(void)bytes;
-	(void)size;
-	sim->current->target = tgt->id->str[2] - '0';
+	if (!at)
+		return;
+	at->target = tgt->id->str[2] - '0';
+	if (at->step == STEP_UNPLACED)
+		place(sim, at);
 }
 
 static void out_reset(struct steer_out *out, const struct flow_addr *addr, uint32_t seq)
 {
-	(void)out;
-	(void)addr;
+	struct sim *sim = ((struct sim_instance *)out)->sim;
+	struct attempt *at = find_attempt(sim, (const uint8_t *)addr, sizeof(*addr));
+
 	(void)seq;
+	if (!at)
+		return;
+	at->was_reset = true;
+	if (at->step == STEP_UNPLACED)
+		retry(sim, at);
 }
 
 static void out_probe(struct steer_out *out, struct reg_target *tgt, unsigned int nr)
@@ -136,6 +190,7 @@
 		.max_flows = 100000,
 		.random = &sim->random.random,
 		.out = &inst->out,
+		.credits = sim->credits,
 	};
 
 	inst->out.ops = &out_ops;
@@ -167,7 +222,6 @@
 
 static void send_packet(struct sim *sim, struct attempt *at, bool syn, uint16_t len, uint32_t ack)
 {
-	static const uint8_t bytes[31];
 	struct caller_packet pkt = {
 		.caller = at->addr.caller,
 		.service = at->addr.service,
@@ -175,11 +229,10 @@
 		.ack = ack,
 		.len = len,
 		.syn = syn,
-		.bytes = bytes,
-		.size = sizeof(bytes),
+		.bytes = (const uint8_t *)&at->addr,
+		.size = sizeof(at->addr),
 	};
 
-	sim->current = at;
 	if (!syn) {
 		struct control_state *cs =
 			&sim->instances[at->addr.caller.ip % INSTANCES].control_state;
@@ -190,28 +243,12 @@
 	steer_packet(steer_of(sim, at), &pkt, sim_now(sim));
 }
 
-static void next(struct sim *sim, struct attempt *at, enum step step, int64_t after_ms)
-{
-	at->step = step;
-	at->due_ms = sim->now_ms + after_ms;
-}
-
-static void retry(struct sim *sim, struct attempt *at)
-{
-	if (at->tries == RETRIES) {
-		at->tally->lost++;
-		at->step = STEP_END;
-		return;
-	}
-	at->tries++;
-	next(sim, at, STEP_RETRY, BACKOFF_MS);
-}
-
 static void open_flow(struct sim *sim, struct attempt *at)
 {
 	at->try_ms = sim->now_ms;
 	at->addr.caller.port++;
 	at->target = -1;
+	at->was_reset = false;
 	at->rejected = false;
 	at->done_ms = NOT_BEGUN;
 	next(sim, at, STEP_OPEN, HOP_MS);
@@ -223,6 +260,7 @@
 
 	at->rejected = queue->length >= TARGET_SLOTS + QUEUE_MAX;
 	if (at->rejected) {
+		at->tally->rejected++;
 		next(sim, at, STEP_ANSWERED, HOP_MS);
 		return;
 	}
@@ -244,12 +282,12 @@
 	switch (at->step) {
 	case STEP_OPEN:
 		send_packet(sim, at, true, 0, 0);
-		if (at->target < 0) {
+		if (at->target >= 0)
+			place(sim, at);
+		else if (at->was_reset)
 			retry(sim, at);
-			break;
-		}
-		at->tally->admitted++;
-		next(sim, at, STEP_REQUEST, 3 * HOP_MS);
+		else
+			next(sim, at, STEP_UNPLACED, END_MS);
 		break;
 	case STEP_REQUEST:
 		send_packet(sim, at, false, 0, 501);
@@ -273,6 +311,7 @@
 	case STEP_RETRY:
 		open_flow(sim, at);
 		break;
+	case STEP_UNPLACED:
 	case STEP_WAIT:
 	case STEP_END:
 		break;
@@ -323,7 +362,7 @@
 		struct attempt *at = link->data;
 
 		following = link->next;
-		if (at->step != STEP_WAIT && at->due_ms <= sim->now_ms)
+		if (at->step != STEP_WAIT && at->step != STEP_UNPLACED && at->due_ms <= sim->now_ms)
 			run_attempt(sim, at);
 		if (at->step != STEP_END)
 			continue;
@@ -336,25 +375,54 @@
 		control_state_timer(&sim->instances[i].control_state, sim_now(sim));
 }
 
+/* Each instance holds one slot of a target, and a place in its queue. */
+static void grant_credits(struct sim *sim)
+{
+	for (int i = 0; i < INSTANCES; i++) {
+		struct control_state *cs = &sim->instances[i].control_state;
+		char id[] = { 'i', '-', (char)('0' + i % TARGETS), 0 };
+		struct credit_entry entry = {
+			.target = registry_by_id(cs->registry, id)->digest,
+			.slots = 1,
+			.queue = 1,
+			.speed_permille = 1000,
+		};
+		struct credit_grant grant;
+
+		credit_grant_init(&grant);
+		g_array_append_val(
+			credit_grant_add(&grant, symbols_intern(&cs->symbols, "web"))->entries,
+			entry);
+		credit_apply_grant(cs->credit, &grant, sim_now(sim));
+		credit_grant_release(&grant);
+		steer_credits_changed(cs->steer, sim_now(sim));
+	}
+}
+
 /* @goal_ms: of the routes; 0 for no goal, which disables refusal. */
-static struct sim *simulate(uint32_t high_per_s, uint32_t low_per_s, uint32_t goal_ms)
+static struct sim *simulate(uint32_t high_per_s, uint32_t low_per_s, uint32_t goal_ms, bool credits)
 {
 	struct sim *sim = g_new0(struct sim, 1);
 
+	sim->credits = credits;
 	seeded_random_init(&sim->random, 1);
 	for (int i = 0; i < INSTANCES; i++)
 		start_instance(sim, &sim->instances[i], goal_ms);
 	for (; sim->now_ms < END_MS; sim->now_ms++) {
+		if (credits && sim->now_ms % GRANT_MS == 0)
+			grant_credits(sim);
 		add_arrivals(sim, &sim->high, 443, high_per_s);
 		add_arrivals(sim, &sim->low, 8443, low_per_s);
 		run_tick(sim);
 	}
 	g_test_message(
-		"goal %u: high asked=%u in_goal=%u lost=%u, low asked=%u in_goal=%u lost=%u, "
-		"admitted=%u, %u of these in goal",
-		goal_ms, sim->high.requests, sim->high.in_goal, sim->high.lost, sim->low.requests,
-		sim->low.in_goal, sim->low.lost, sim->high.admitted + sim->low.admitted,
-		sim->high.admitted_in_goal + sim->low.admitted_in_goal);
+		"goal %u credits %d: high asked=%u in_goal=%u lost=%u, low asked=%u in_goal=%u "
+		"lost=%u, admitted=%u, %u of these in goal, rejected=%u",
+		goal_ms, credits, sim->high.requests, sim->high.in_goal, sim->high.lost,
+		sim->low.requests, sim->low.in_goal, sim->low.lost,
+		sim->high.admitted + sim->low.admitted,
+		sim->high.admitted_in_goal + sim->low.admitted_in_goal,
+		sim->high.rejected + sim->low.rejected);
 	return sim;
 }
 
@@ -376,8 +444,8 @@
 /* 374 requests a second for targets that can serve 261, as when three of four data centres fail. */
 static void test_overload(void)
 {
-	struct sim *without = simulate(83, 291, 0);
-	struct sim *with = simulate(83, 291, GOAL_MS);
+	struct sim *without = simulate(83, 291, 0, false);
+	struct sim *with = simulate(83, 291, GOAL_MS, false);
 	unsigned int admitted = with->high.admitted + with->low.admitted;
 	unsigned int admitted_in_goal = with->high.admitted_in_goal + with->low.admitted_in_goal;
 
@@ -398,7 +466,35 @@
 /* No opening may be refused while the targets can serve the load. */
 static void test_half_load(void)
 {
-	struct sim *with = simulate(30, 100, GOAL_MS);
+	struct sim *with = simulate(30, 100, GOAL_MS, false);
+
+	g_assert_cmpuint(with->high.lost + with->low.lost, ==, 0);
+	g_assert_cmpuint(in_goal(with) * 100, >=, (with->high.requests + with->low.requests) * 98);
+	sim_free(with);
+}
+
+/*
+ * With credits, targets reject nothing, the more important class is served as if the other were not
+ * there, and that is not at the other's cost.
+ */
+static void test_credits_overload(void)
+{
+	struct sim *without = simulate(83, 291, GOAL_MS, false);
+	struct sim *with = simulate(83, 291, GOAL_MS, true);
+
+	/* Precondition: admission control cannot avoid rejections. */
+	g_assert_cmpuint(without->high.rejected + without->low.rejected, >, 0);
+	g_assert_cmpuint(with->high.rejected + with->low.rejected, ==, 0);
+	g_assert_cmpuint(with->high.in_goal * 100, >=, with->high.requests * 98);
+	g_assert_cmpuint(with->low.in_goal, >=, without->low.in_goal);
+	sim_free(without);
+	sim_free(with);
+}
+
+/* Credits must not make openings late, or refuse them, while the targets can serve the load. */
+static void test_credits_half_load(void)
+{
+	struct sim *with = simulate(30, 100, GOAL_MS, true);
 
 	g_assert_cmpuint(with->high.lost + with->low.lost, ==, 0);
 	g_assert_cmpuint(in_goal(with) * 100, >=, (with->high.requests + with->low.requests) * 98);
@@ -464,5 +560,7 @@
 	g_test_add_func("/load/average", test_average);
 	g_test_add_func("/load/half", test_half_load);
 	g_test_add_func("/load/overload", test_overload);
+	g_test_add_func("/load/credits/half", test_credits_half_load);
+	g_test_add_func("/load/credits/overload", test_credits_overload);
 	return g_test_run();
 }
