--- a/credit/backlog.c
+++ b/credit/backlog.c
@@ -5,7 +5,10 @@
 /* The openings of 1,000 new flows a second for as long as a caller waits for an acceptance. */
 #define BACKLOG_MAX	  1400
 #define BACKLOG_MAX_BYTES (1u << 20)
-/* One caller address holds at most a quarter of the openings of a queue of this length or more. */
+/*
+ * In a queue of this length or more, a caller address that has more than a quarter of the openings
+ * adds none. Four callers with equal shares can still fill the backlog.
+ */
 #define CALLER_FREE_PLACES 8
 #define CALLER_DIVISOR	   4
 /* One in so many placements goes to a lower priority. */
@@ -104,7 +107,7 @@
 static bool has_share(const struct backlog_queue *queue, uint32_t caller)
 {
 	return queue->items.length >= CALLER_FREE_PLACES &&
-	       (caller_count(queue, caller) + 1) * CALLER_DIVISOR > queue->items.length + 1;
+	       caller_count(queue, caller) * CALLER_DIVISOR > queue->items.length;
 }
 
 bool backlog_is_full(const struct backlog *bl, size_t size)
--- a/t/test-credit.c
+++ b/t/test-credit.c
@@ -631,15 +631,28 @@
 	item->priority = 2;
 	g_assert_true(backlog_add(bl, item));
 	/* Others are not kept out, and its share grows with the queue. */
-	for (uint32_t i = 0; i < 27; i++)
+	for (uint32_t i = 0; i < 23; i++)
 		g_assert_true(backlog_add(bl, new_item(WEB, 1, 100 + i)));
-	g_assert_true(backlog_add(bl, new_item(WEB, 1, 7)));
+	item = new_item(WEB, 1, 7);
+	g_assert_false(backlog_add(bl, item));
+	g_assert_true(backlog_add(bl, new_item(WEB, 1, 99)));
+	g_assert_true(backlog_add(bl, item));
 	item = new_item(WEB, 1, 7);
 	g_assert_false(backlog_add(bl, item));
 	g_free(item);
 	drain(bl);
 }
 
+/* Four callers that open flows in turn must not stop one another while the backlog has room. */
+static void test_backlog_equal_callers(void)
+{
+	struct backlog *bl = backlog_new();
+
+	for (uint32_t i = 0; i < 400; i++)
+		g_assert_true(backlog_add(bl, new_item(WEB, 1, i % 4)));
+	drain(bl);
+}
+
 static const struct bound_case {
 	const char *name;
 	size_t size;
@@ -767,6 +780,7 @@
 	g_test_add_func("/credit/backlog/order", test_backlog_order);
 	g_test_add_func("/credit/backlog/turns", test_backlog_turns);
 	g_test_add_func("/credit/backlog/callers", test_backlog_callers);
+	g_test_add_func("/credit/backlog/equal-callers", test_backlog_equal_callers);
 	g_test_add_func("/credit/backlog/expiry", test_backlog_expiry);
 	g_test_add_func("/credit/backlog/limits", test_backlog_limits);
 	g_test_add_func("/credit/backlog/prediction", test_backlog_prediction);
