steer-credit: count waiting openings for metrics, and test logs

Adds steer_credit_waiting_count() for a gauge by priority, and tests of the figures in log lines, of an opening that its first target accepts after it was moved, of a withdrawn route and of split routes.

--- a/credit/backlog.c
+++ b/credit/backlog.c
@@ -262,6 +262,18 @@
 	return svc ? queue_of(svc, priority)->items.length : 0;
 }
 
+uint32_t backlog_waiting_all(const struct backlog *bl, uint32_t priority)
+{
+	uint32_t nr = 0;
+	GHashTableIter iter;
+	gpointer svc;
+
+	g_hash_table_iter_init(&iter, bl->services);
+	while (g_hash_table_iter_next(&iter, NULL, &svc))
+		nr += queue_of(svc, priority)->items.length;
+	return nr;
+}
+
 void backlog_each_service(struct backlog *bl, void (*fn)(uint32_t service, void *arg), void *arg)
 {
 	GArray *services;
--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -50,6 +50,8 @@
 struct backlog_item *backlog_first(struct backlog *bl);
 
 uint32_t backlog_count(const struct backlog *bl);
+/* Openings of all services with @priority. */
+uint32_t backlog_waiting_all(const struct backlog *bl, uint32_t priority);
 uint32_t backlog_waiting(const struct backlog *bl, uint32_t service, uint32_t priority);
 /* Calls @fn for each service with openings that wait. @fn may remove openings. */
 void backlog_each_service(struct backlog *bl, void (*fn)(uint32_t service, void *arg), void *arg);
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -222,6 +222,11 @@
 	return nr;
 }
 
+uint32_t steer_credit_waiting_count(const struct steer *st, uint32_t priority)
+{
+	return st->credit ? backlog_waiting_all(st->credit->backlog, priority) : 0;
+}
+
 static void update_waiting(struct steer_credit *sc, uint32_t service)
 {
 	credit_set_waiting(sc->account, service, nr_waiting(sc, service));
--- a/steer.h
+++ b/steer.h
@@ -131,6 +131,8 @@
 uint32_t steer_flow_count(const struct steer *st);
 /* Openings that wait for a usable target. */
 uint32_t steer_waiting_count(const struct steer *st);
+/* Openings of @priority, less than CREDIT_PRIORITIES, that wait for a credit. */
+uint32_t steer_credit_waiting_count(const struct steer *st, uint32_t priority);
 const struct histogram *steer_accept_times(const struct steer *st);
 /* Age of the list of targets at each opening. */
 const struct histogram *steer_target_list_ages(const struct steer *st);
--- a/t/test-credit.c
+++ b/t/test-credit.c
@@ -301,6 +301,36 @@
 		g_assert_cmpuint(counts[i], <=, 125);
 }
 
+/*
+ * Credits must be looked up for the service that placing uses: otherwise copies of an opening could
+ * reach targets of two services.
+ */
+static void test_split_route(void)
+{
+	struct target_info info = { .id = "o", .service = OTHER, .data_centre = HOME, .slots = 2 };
+	unsigned int nr_other = 0;
+	struct fixture fix;
+
+	set_up(&fix);
+	put_target(&fix, "a", HOME, 0, false);
+	registry_put(fix.reg, &info, fix.now);
+	fix.rule.services[1] = (struct route_service){ .service = OTHER, .weight = 3 };
+	fix.rule.nr_services = 2;
+	fix.rule.weight_sum = 4;
+	for (uint64_t i = 0; i < 1000; i++) {
+		struct placing_request req = { .rule = &fix.rule,
+					       .now = fix.now,
+					       .flow_digest = i * 0x9e3779b97f4a7c15u };
+		uint32_t service = placing_service(&fix.rule, req.flow_digest)->service;
+
+		g_assert_cmpuint(placing_choose(&fix.placing, &req)->service, ==, service);
+		nr_other += service == OTHER;
+	}
+	g_assert_cmpuint(nr_other, >=, 650);
+	g_assert_cmpuint(nr_other, <=, 850);
+	tear_down(&fix);
+}
+
 static void test_expiry(void)
 {
 	static const struct entry entries[] = { { "a", 1, 0, 0, false } };
@@ -770,6 +800,7 @@
 	g_test_add_func("/credit/choice/round-robin-by-speed", test_round_robin);
 	g_test_add_func("/credit/choice/a-target-that-returns", test_return_of_target);
 	g_test_add_func("/credit/choice/first-choices-differ", test_first_choices);
+	g_test_add_func("/credit/choice/service-of-a-split-route", test_split_route);
 	g_test_add_func("/credit/grant/expiry", test_expiry);
 	g_test_add_func("/credit/grant/shrinks", test_shrinking_grant);
 	g_test_add_func("/credit/grant/replaces", test_replacing_grant);
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -13,6 +13,8 @@
 
 #include "beliefs.h"
 #include "credit/account.h"
+#include "decision.h"
+#include "log.h"
 #include "random.h"
 #include "timeutil.h"
 
@@ -232,6 +234,13 @@
 	send_packet(fix, caller_nr(words), &pkt);
 }
 
+/* mark CALLER NAME: the target whose mark the caller's next packets echo */
+static void do_mark(struct fixture *fix, char **words)
+{
+	fix->callers[caller_nr(words)].target =
+		registry_by_id(fix->control_state.registry, words[2]);
+}
+
 /* dead NAME: suspected, then two rounds of probes fail. */
 static void do_dead(struct fixture *fix, char **words)
 {
@@ -313,6 +322,15 @@
 		g_assert_cmpuint(values[i], ==, g_ascii_strtoull(words[i + 1], NULL, 10));
 }
 
+/* waiting PRIORITY NUMBER */
+static void do_waiting(struct fixture *fix, char **words)
+{
+	uint32_t priority = (uint32_t)g_ascii_strtoull(words[1], NULL, 10);
+
+	g_assert_cmpuint(steer_credit_waiting_count(fix->control_state.steer, priority), ==,
+			 g_ascii_strtoull(words[2], NULL, 10));
+}
+
 /* reused NUMBER: in a report of the demand, which ends the count */
 static void do_reused(struct fixture *fix, char **words)
 {
@@ -337,7 +355,7 @@
 	{ "close", do_close },	 { "dead", do_dead },	  { "trust", do_trust },
 	{ "gone", do_gone },	 { "wait", do_wait },	  { "stop", do_stop },
 	{ "in_use", do_in_use }, { "seen", do_seen },	  { "counts", do_counts },
-	{ "reused", do_reused },
+	{ "reused", do_reused }, { "mark", do_mark },	  { "waiting", do_waiting },
 };
 
 static void run_line(struct fixture *fix, const char *script, const char *line)
@@ -476,7 +494,8 @@
 	  "answer c1 => c2>i-a\nopen c2 80 => c2>i-a\nin_use i-a 1\ncounts 1 1 0 0\n" },
 	{ "wait/planned-stop",
 	  ONE_TARGET ONE_ANSWER "grant web i-a=1+0\nopen c1 80 => c1>i-a\nopen c2 80\nopen c3 443\n"
-				"stop => reset c2, reset c3\ncounts 2 0 2 0\nin_use i-a 1\n" },
+				"waiting 1 1\nwaiting 2 1\nstop => reset c2, reset c3\nwaiting 1 "
+				"0\nwaiting 2 0\ncounts 2 0 2 0\nin_use i-a 1\n" },
 	{ "wait/route-withdrawn",
 	  ONE_TARGET ONE_ANSWER "grant web i-a=1+0\nopen c1 80 => c1>i-a\nopen c2 443\nopen c3 80\n"
 				"config 2 web - => reset c2\ncounts 2 0 0 0\n" },
@@ -510,6 +529,13 @@
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nin_use i-a 1\nwait 60\n"
 	  "dead i-a => c1>i-b\nin_use i-a 0\nin_use i-b 1\nrequest c1\nanswer c1\nin_use i-b 0\n"
 	  "seen i-a failed 0\nseen i-b completed 1\n" },
+	/* The first target has accepted after all. */
+	{ "charge/accepted-by-the-first-target", TWO_TARGETS
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nwait 60\ndead i-a => c1>i-b\ntrust i-a alive\n"
+	  "mark c1 i-a\nrequest c1\nin_use i-a 1\nin_use i-b 0\nanswer c1\nin_use i-a 0\n" },
+	{ "charge/flow-of-a-withdrawn-route",
+	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nin_use i-a 1\n"
+		     "config 2 - web => reset c1\nin_use i-a 0\nseen i-a failed 0\n" },
 	{ "charge/flow-of-a-dead-target", ONE_TARGET
 	  "grant web i-a=2+0\nopen c1 80 => c1>i-a\nrequest c1\nopen c2 80 => c2>i-a\nwait 60\n"
 	  "dead i-a => reset c1\nin_use i-a 1\nseen i-a failed 1\n" },
@@ -550,6 +576,38 @@
 	  1 },
 };
 
+static const struct script log_script = {
+	"log",
+	ONE_TARGET ONE_ANSWER "wait 1100\ngrant web i-a=1+0\nopen c1 443 => c1>i-a\nrequest "
+			      "c1\nopen c2 443\nopen c3 443\n"
+			      "open c4 443 => reset c4\nwait 30\nanswer c1 => c2>i-a\n",
+};
+
+/* The figures of a decision are needed to explain it afterwards, by explain.c or an operator. */
+static void test_logs(void)
+{
+	struct edge_counters counters = { 0 };
+
+	if (g_test_subprocess()) {
+		g_assert_cmpint(log_init("info", "test"), ==, 0);
+		decision_init(&counters);
+		run_script(&log_script);
+		decision_init(NULL);
+		log_release();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stdout(
+		"*event=open flow=*target=i-a why=credit *held=1 in_use=0 credit_age_ms=0 "
+		"waited_ms=0*"
+		"event=wait flow=*reason=no_credit limit_ms=100 predicted_ms=50 *waiting=1 *"
+		"event=wait flow=*reason=no_credit limit_ms=100 predicted_ms=100 *waiting=2 *"
+		"event=refuse flow=*reason=no_room *waiting=2 predicted_ms=150 limit_ms=100 "
+		"credits=1 in_use=1 credit_age_ms=0*"
+		"event=open flow=*why=credit *waited_ms=30*");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -560,5 +618,6 @@
 		g_test_add_data_func(path, &scripts[i], run_script);
 		g_free(path);
 	}
+	g_test_add_func("/steer-credit/logs", test_logs);
 	return g_test_run();
 }
