--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -127,7 +127,7 @@
 	control_state_commit_config(&fix->control_state, fix->now);
 }
 
-/* grant SERVICE [NAME=SLOTS+QUEUE ...] */
+/* grant SERVICE [NAME=SLOTS+QUEUE ...]; after "untold-grant", steer learns of it by itself. */
 static void do_grant(struct fixture *fix, char **words)
 {
 	struct credit_service_grant *svc;
@@ -149,7 +149,8 @@
 	}
 	credit_apply_grant(fix->control_state.credit, &grant, fix->now);
 	credit_grant_release(&grant);
-	steer_credits_changed(fix->control_state.steer, fix->now);
+	if (!strcmp(words[0], "grant"))
+		steer_credits_changed(fix->control_state.steer, fix->now);
 }
 
 static void do_drop(struct fixture *fix, char **words)
@@ -252,10 +253,14 @@
 	}
 }
 
+/* trust NAME TRUST, without any consequence for flows */
 static void do_trust(struct fixture *fix, char **words)
 {
-	registry_by_id(fix->control_state.registry, words[1])->trust =
-		!strcmp(words[2], "suspected") ? TRUST_SUSPECTED : TRUST_ALIVE;
+	struct reg_target *tgt = registry_by_id(fix->control_state.registry, words[1]);
+
+	tgt->trust = TRUST_ALIVE;
+	while (strcmp(target_trust_name(tgt->trust), words[2]) != 0)
+		tgt->trust++;
 }
 
 static void do_gone(struct fixture *fix, char **words)
@@ -349,13 +354,14 @@
 	const char *name;
 	void (*run)(struct fixture *fix, char **words);
 } commands[] = {
-	{ "target", do_target }, { "config", do_config }, { "grant", do_grant },
-	{ "drop", do_drop },	 { "open", do_open },	  { "request", do_request },
-	{ "accept", do_accept }, { "answer", do_answer }, { "reject", do_reject },
-	{ "close", do_close },	 { "dead", do_dead },	  { "trust", do_trust },
-	{ "gone", do_gone },	 { "wait", do_wait },	  { "stop", do_stop },
-	{ "in_use", do_in_use }, { "seen", do_seen },	  { "counts", do_counts },
-	{ "reused", do_reused }, { "mark", do_mark },	  { "waiting", do_waiting },
+	{ "target", do_target },   { "config", do_config },	 { "grant", do_grant },
+	{ "drop", do_drop },	   { "open", do_open },		 { "request", do_request },
+	{ "accept", do_accept },   { "answer", do_answer },	 { "reject", do_reject },
+	{ "close", do_close },	   { "dead", do_dead },		 { "trust", do_trust },
+	{ "gone", do_gone },	   { "wait", do_wait },		 { "stop", do_stop },
+	{ "in_use", do_in_use },   { "seen", do_seen },		 { "counts", do_counts },
+	{ "reused", do_reused },   { "untold-grant", do_grant }, { "mark", do_mark },
+	{ "waiting", do_waiting },
 };
 
 static void run_line(struct fixture *fix, const char *script, const char *line)
@@ -486,6 +492,10 @@
 	{ "wait/not-overtaken", ONE_TARGET ONE_ANSWER
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nopen c2 80\nopen c3 80\nwait 5\n"
 	  "answer c1 => c2>i-a\nopen c4 80\nrequest c2\nwait 5\nanswer c2 => c3>i-a\n" },
+	{ "wait/not-overtaken-after-a-grant", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 443\nuntold-grant web "
+	  "i-a=2+0\n"
+	  "open c3 80 => c2>i-a\nuntold-grant web i-a=3+0\nwait 20 => c3>i-a\n" },
 	{ "wait/limits", ONE_TARGET
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 443\nopen c3 80\n"
 	  "wait 90\nwait 40 => reset c2\nwait 60\nwait 40 => reset c3\ncounts 2 0 2 0\n" },
@@ -511,6 +521,10 @@
 	{ "wait/end-of-grants-without-target",
 	  ONE_TARGET ONE_ANSWER "grant web i-a=1+0\nopen c1 80 => c1>i-a\nopen c2 80\n"
 				"gone i-a\ndrop => reset c2\n" },
+	/* Both waits together are no longer than that of an opening without a target, 750 ms. */
+	{ "wait/for-a-credit-and-then-for-a-target", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 80\nwait 100\n"
+	  "trust i-a dead\ndrop\nwait 600\nwait 80 => reset c2\n" },
 	{ "wait/full-table",
 	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 80 => reset c2\n"
 		     "counts 0 0 1 0\n",
@@ -529,6 +543,10 @@
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nin_use i-a 1\nwait 60\n"
 	  "dead i-a => c1>i-b\nin_use i-a 0\nin_use i-b 1\nrequest c1\nanswer c1\nin_use i-b 0\n"
 	  "seen i-a failed 0\nseen i-b completed 1\n" },
+	/* A request that the caller sends late is not overdue early. */
+	{ "charge/late-request", ONE_TARGET
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nwait 150\nrequest c1\nwait 150\n"
+	  "close c1\nseen i-a overdue 0\nseen i-a failed 0\n" },
 	/* The first target has accepted after all. */
 	{ "charge/accepted-by-the-first-target", TWO_TARGETS
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nwait 60\ndead i-a => c1>i-b\ntrust i-a alive\n"
