--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -64,8 +64,12 @@
 
 static void out_reset(struct steer_out *out, const struct flow_addr *addr, uint32_t seq)
 {
+	struct fixture *fix = (struct fixture *)out;
+	unsigned int nr = addr->caller.ip - CALLER_IP;
+
 	(void)seq;
-	add_output((struct fixture *)out, "reset c%u%s", addr->caller.ip - CALLER_IP, "");
+	fix->callers[nr].target = NULL;
+	add_output(fix, "reset c%u%s", nr, "");
 }
 
 static void out_probe(struct steer_out *out, struct reg_target *tgt, unsigned int nr)
@@ -233,6 +237,7 @@
 	struct caller_packet pkt = { .seq = caller->seq, .ack = caller->ack, .fin = true };
 
 	send_packet(fix, caller_nr(words), &pkt);
+	caller->target = NULL;
 }
 
 /* mark CALLER NAME: the target whose mark the caller's next packets echo */
@@ -364,11 +369,9 @@
 	{ "waiting", do_waiting },
 };
 
-static void run_line(struct fixture *fix, const char *script, const char *line)
+static void run_command(struct fixture *fix, const char *command)
 {
-	char **halves = g_strsplit(line, "=>", 2);
-	char **words = g_strsplit(g_strstrip(halves[0]), " ", 0);
-	const char *expected = halves[1] ? g_strstrip(halves[1]) : "";
+	char **words = g_strsplit(command, " ", 0);
 	bool known = false;
 
 	g_string_truncate(fix->sent, 0);
@@ -379,10 +382,18 @@
 		}
 	}
 	g_assert_true(known);
+	g_strfreev(words);
+}
+
+static void run_line(struct fixture *fix, const char *script, const char *line)
+{
+	char **halves = g_strsplit(line, "=>", 2);
+	const char *expected = halves[1] ? g_strstrip(halves[1]) : "";
+
+	run_command(fix, g_strstrip(halves[0]));
 	if (strcmp(fix->sent->str, expected) != 0)
 		g_error("in \"%s\"\n  line \"%s\" sent \"%s\", expected \"%s\"", script, line,
 			fix->sent->str, expected);
-	g_strfreev(words);
 	g_strfreev(halves);
 }
 
@@ -398,42 +409,132 @@
 	g_assert_cmpuint(tgt->credit.in_use, ==, 0);
 }
 
-static void run_script(gconstpointer data)
+static void begin(struct fixture *fix, unsigned int max_flows)
 {
-	const struct script *script = data;
-	char **lines = g_strsplit(script->lines, "\n", 0);
-	char *end[] = { (char *)"wait", g_strdup_printf("%d", FLOW_END_MS), NULL };
-	struct fixture fix = {
-		.out = { &out_ops },
-		.now = { .tv_sec = START_S },
-		.sent = g_string_new(NULL),
-	};
 	struct control_state_options opts = {
 		.data_centre = "home",
 		.placing = PLACING_LEAST_LOADED,
 		.remote_percent = 100,
 		.verify_ms = 50,
-		.max_flows = script->max_flows ? script->max_flows : 1000,
-		.random = &fix.random.random,
-		.out = &fix.out,
+		.max_flows = max_flows,
+		.random = &fix->random.random,
+		.out = &fix->out,
 		.credits = true,
 	};
 
-	seeded_random_init(&fix.random, 1);
-	control_state_init(&fix.control_state, &opts);
+	*fix = (struct fixture){
+		.out = { &out_ops },
+		.now = { .tv_sec = START_S },
+		.sent = g_string_new(NULL),
+	};
+	seeded_random_init(&fix->random, 1);
+	control_state_init(&fix->control_state, &opts);
+}
+
+/* All flows expire; no credit may be in use then. */
+static void end(struct fixture *fix)
+{
+	char *words[] = { NULL, g_strdup_printf("%d", FLOW_END_MS), NULL };
+
+	do_wait(fix, words);
+	g_assert_cmpuint(steer_flow_count(fix->control_state.steer), ==, 0);
+	registry_each(fix->control_state.registry, check_returned, NULL);
+	control_state_release(&fix->control_state);
+	g_string_free(fix->sent, TRUE);
+	g_free(words[1]);
+}
+
+static void run_script(gconstpointer data)
+{
+	const struct script *script = data;
+	char **lines = g_strsplit(script->lines, "\n", 0);
+	struct fixture fix;
+
+	begin(&fix, script->max_flows ? script->max_flows : 1000);
 	for (char **line = lines; *line; line++) {
 		if (**line)
 			run_line(&fix, script->name, *line);
 	}
-	do_wait(&fix, end);
-	g_assert_cmpuint(steer_flow_count(fix.control_state.steer), ==, 0);
-	registry_each(fix.control_state.registry, check_returned, NULL);
-	control_state_release(&fix.control_state);
-	g_string_free(fix.sent, TRUE);
-	g_free(end[1]);
+	end(&fix);
 	g_strfreev(lines);
 }
 
+#define RANDOM_CALLERS 40
+#define RANDOM_STEPS   20000
+#define RANDOM_SEEDS   8
+
+/* A random command for scripts. */
+static char *random_command(const struct fixture *fix, struct random *random, unsigned int config)
+{
+	static const char *const names[] = { "i-a", "i-b", "i-c" };
+	static const char *const openings[] = { "open c%u 80", "open c%u 443", "open c%u 443",
+						"open c%u 8080" };
+	static const char *const packets[] = { "accept c%u", "request c%u", "request c%u",
+					       "answer c%u", "answer c%u",  "answer c%u",
+					       "reject c%u", "close c%u",   "close c%u" };
+	static const char *const targets[] = {
+		"trust %s suspected", "trust %s alive", "trust %s alive",
+		"trust %s alive",     "gone %s",	"target %s web",
+		"target %s web",      "target %s web",	"target %s web",
+		"target %s other"
+	};
+	static const char *const configs[] = { "web web", "web other", "web web", "web -" };
+	unsigned int caller = 1 + random_below(random, RANDOM_CALLERS);
+
+	switch (random_below(random, 64)) {
+	case 0:
+		return g_strdup_printf("wait %u", 1 + random_below(random, 300));
+	case 1:
+		return g_strdup_printf("config %u %s", config,
+				       configs[random_below(random, G_N_ELEMENTS(configs))]);
+	case 2:
+		return g_strdup_printf(targets[random_below(random, G_N_ELEMENTS(targets))],
+				       names[random_below(random, G_N_ELEMENTS(names))]);
+	case 3:
+		return g_strdup(random_below(random, 8) ? "drop" : "stop");
+	case 4:
+	case 5:
+	case 6:
+		return g_strdup_printf("%s web i-a=%u+%u i-b=%u+1",
+				       random_below(random, 2) ? "grant" : "untold-grant",
+				       random_below(random, 3), random_below(random, 3),
+				       random_below(random, 3));
+	case 7:
+	case 8:
+		return g_strdup_printf("wait %u", 1 + random_below(random, 10));
+	default:
+		if (fix->callers[caller].target)
+			return g_strdup_printf(packets[random_below(random, G_N_ELEMENTS(packets))],
+					       caller);
+		return g_strdup_printf(openings[random_below(random, G_N_ELEMENTS(openings))],
+				       caller);
+	}
+}
+
+/* Any order of events must leave no credit in use, and no opening in the backlog. */
+static void test_random(void)
+{
+	for (uint32_t seed = 1; seed <= RANDOM_SEEDS; seed++) {
+		struct seeded_random random;
+		struct fixture fix;
+
+		seeded_random_init(&random, seed);
+		begin(&fix, seed % 2 ? 20 : 1000);
+		run_command(&fix, "target i-a web");
+		run_command(&fix, "target i-b web");
+		run_command(&fix, "target i-c other");
+		run_command(&fix, "config 1 web web");
+		for (unsigned int i = 0; i < RANDOM_STEPS; i++) {
+			char *command = random_command(&fix, &random.random, 2 + i);
+
+			run_command(&fix, command);
+			g_free(command);
+		}
+		g_assert_cmpuint(fix.control_state.counters.openings_placed_credit, >, 0);
+		end(&fix);
+	}
+}
+
 #define ONE_TARGET                                                                                 \
 	"target i-a web\n"                                                                         \
 	"config 1 web web\n"
@@ -637,5 +738,6 @@
 		g_free(path);
 	}
 	g_test_add_func("/steer-credit/logs", test_logs);
+	g_test_add_func("/steer-credit/random", test_random);
 	return g_test_run();
 }
