--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -32,13 +32,15 @@
  * caller's address has its share of it.
  */
 bool backlog_add(struct backlog *bl, struct backlog_item *item);
+/* Whether an opening of @size bytes exceeds the bounds, whoever its caller is. */
+bool backlog_is_full(const struct backlog *bl, size_t size);
 void backlog_remove(struct backlog *bl, struct backlog_item *item);
 /*
  * The opening of the service to place next, or NULL: of the highest priority, the oldest first; one
  * in 16 placements goes to the next lower priority that waits.
  */
 struct backlog_item *backlog_next(struct backlog *bl, uint32_t service);
-/* To be called when the opening of backlog_next() has been placed. */
+/* Removes the opening of backlog_next(), which is being placed. */
 void backlog_placed(struct backlog *bl, struct backlog_item *item);
 /* An opening that has waited for its limit, or NULL. */
 struct backlog_item *backlog_expired(struct backlog *bl, struct timespec now);
@@ -48,11 +50,16 @@
 struct backlog_item *backlog_first(struct backlog *bl);
 
 uint32_t backlog_count(const struct backlog *bl);
+/* Openings of all services with @priority. */
+uint32_t backlog_waiting_all(const struct backlog *bl, uint32_t priority);
 uint32_t backlog_waiting(const struct backlog *bl, uint32_t service, uint32_t priority);
 /* Calls @fn for each service with openings that wait. @fn may remove openings. */
 void backlog_each_service(struct backlog *bl, void (*fn)(uint32_t service, void *arg), void *arg);
 
-/* Milliseconds that an opening of @priority would wait if @returned_per_s credits come back. */
+/*
+ * Milliseconds that an opening of @priority would wait if @returned_per_s credits come back;
+ * INT64_MAX for 0.
+ */
 int64_t backlog_predict_ms(const struct backlog *bl, uint32_t service, uint32_t priority,
 			   uint32_t returned_per_s);
 /* Longest wait of an opening, in milliseconds; 0 if it must not wait. */
