settings: add credits and credit_interval_ms

Cause: credits are off unless the settings enable them, and they need the messages of the relay. Change: the settings credits and credit_interval_ms; credits without peers is a fault. Counters, a kind of log lines and an operation that lists readers, which the exchange of credits will use. Measured: builds; no test runs any of it yet.

--- a/decision.c
+++ b/decision.c
@@ -15,6 +15,7 @@
 	[DECISION_ADOPT] = "adopt", [DECISION_STALL] = "stall",	    [DECISION_RESET] = "reset",
 	[DECISION_DROP] = "drop",   [DECISION_TARGET] = "target",   [DECISION_CONFIG] = "config",
 	[DECISION_STORE] = "store", [DECISION_PROCESS] = "process", [DECISION_WAIT] = "wait",
+	[DECISION_CREDIT] = "credit",
 };
 
 struct line_budget {
--- a/decision.h
+++ b/decision.h
@@ -24,6 +24,7 @@
 	DECISION_CONFIG,  /* a configuration or withdrawal was applied */
 	DECISION_STORE,	  /* the store became unreachable or reachable, or an entry is malformed */
 	DECISION_PROCESS, /* start, stop, reload */
+	DECISION_CREDIT,  /* credits: a service takes part, a target is left out, lending */
 	DECISION_KINDS,
 };
 
--- a/edge-counters.h
+++ b/edge-counters.h
@@ -35,6 +35,11 @@
 	X(store_calls, "calls to the platform's store")                                            \
 	X(store_errors, "calls to the platform's store that failed")                               \
 	X(entries_malformed, "entries of the store that could not be used")                        \
+	X(credit_reports_in, "reports of demand received from followers and borrowers")             \
+	X(credit_reports_out, "reports of demand sent to readers")                                 \
+	X(credit_grants_in, "grants of credits received")                                          \
+	X(credit_grants_out, "grants of credits sent")                                             \
+	X(credit_dropped, "reports and grants dropped: malformed, repeated or implausible")        \
 	X(send_lost, "packets that the kernel did not accept for sending")                         \
 	X(log_lines, "log lines written")                                                          \
 	X(log_lines_limited, "log lines suppressed by the rate limit")                             \
--- a/edge-settings.c
+++ b/edge-settings.c
@@ -69,6 +69,8 @@
 	set->placing = parse_placing(json_str(root, "placing"));
 	set->remote_percent = (uint32_t)json_num(root, "remote_percent");
 	set->cold_gap_ms = (uint32_t)json_num(root, "cold_gap_ms");
+	set->credits = !strcmp(json_str(root, "credits"), "on");
+	set->credit_interval_ms = (uint32_t)json_num(root, "credit_interval_ms");
 	set->watch_pause_ms = (uint32_t)json_num(root, "watch_pause_ms");
 	set->max_flows = (uint32_t)json_num(root, "max_flows");
 	g_string_assign(set->log_level, json_str(root, "log_level"));
@@ -86,6 +88,9 @@
 		if (endpoint_equal(set->ready, set->metrics))
 			faults_add(faults, text.file->str, json_text_line(&text, "metrics"),
 				   "metrics", "is the same address as ready");
+		if (set->credits && !set->peers.port)
+			faults_add(faults, text.file->str, json_text_line(&text, "credits"),
+				   "credits", "is on without peers");
 		if (!parse_seeds(set, json_str(text.root, "seeds")))
 			faults_add(faults, text.file->str, json_text_line(&text, "seeds"), "seeds",
 				   "is not a list of at most 8 addresses, separated by commas");
--- a/edge-settings.h
+++ b/edge-settings.h
@@ -29,6 +29,8 @@
 	enum placing_policy placing;
 	uint32_t remote_percent;
 	uint32_t cold_gap_ms;
+	bool credits;
+	uint32_t credit_interval_ms;
 	uint32_t watch_pause_ms;
 	uint32_t max_flows;
 	GString *log_level;
--- a/proto/edge-gen.c
+++ b/proto/edge-gen.c
@@ -19,6 +19,8 @@
 	{ "remote_percent", SCHEMA_UINT, false, 100u, 10000u, "%", "400", NULL },
 	{ "placing", SCHEMA_ENUM, false, 0u, UINT64_MAX, NULL, "\"two-choices\"", "least-loaded,two-choices,rendezvous" },
 	{ "cold_gap_ms", SCHEMA_UINT, false, 0u, 60000u, "ms", "1000", NULL },
+	{ "credits", SCHEMA_ENUM, false, 0u, UINT64_MAX, NULL, "\"off\"", "off,on" },
+	{ "credit_interval_ms", SCHEMA_UINT, false, 50u, 500u, "ms", "250", NULL },
 	{ "watch_pause_ms", SCHEMA_UINT, false, 0u, 10000u, "ms", "700", NULL },
 	{ "max_flows", SCHEMA_UINT, false, 1024u, 4194304u, "flows", "131072", NULL },
 	{ "log_level", SCHEMA_ENUM, false, 0u, UINT64_MAX, NULL, "\"info\"", "error,warn,info,debug" },
--- a/symbol.c
+++ b/symbol.c
@@ -28,6 +28,15 @@
 	return syms->names->len - 1;
 }
 
+uint32_t symbols_find(const struct symbols *syms, const char *name)
+{
+	GString *str = g_string_new(name);
+	gpointer found = g_hash_table_lookup(syms->by_name, str);
+
+	g_string_free(str, TRUE);
+	return found ? GPOINTER_TO_UINT(found) - 1 : SYMBOL_NONE;
+}
+
 const char *symbols_name(const struct symbols *syms, uint32_t sym)
 {
 	const GString *name;
--- a/symbol.h
+++ b/symbol.h
@@ -17,6 +17,8 @@
 
 /* The symbol of @name, added if it is new. Symbols are valid until the table is released. */
 uint32_t symbols_intern(struct symbols *syms, const char *name);
+/* The symbol of @name, or SYMBOL_NONE when it is not in the table. */
+uint32_t symbols_find(const struct symbols *syms, const char *name);
 /* The name of @sym, "" for SYMBOL_NONE. */
 const char *symbols_name(const struct symbols *syms, uint32_t sym);
 
--- a/upstream.h
+++ b/upstream.h
@@ -30,6 +30,11 @@
 	void (*lookup_reader)(struct upstream *up, bool fresh);
 	/* Registers @entry if the stored entry is still at revision entry->revision. */
 	void (*claim)(struct upstream *up, const struct reader_entry *entry);
+	/*
+	 * Looks up the readers of all data centres once; the answer may be seconds old. The result
+	 * is reported through relay_readers_listed(), or not at all if the store does not answer.
+	 */
+	void (*list_readers)(struct upstream *up);
 };
 
 struct upstream {
