credit: exchange reports and grants between instances

Cause: instances must share the room of targets, and only the reader hears of all demand. Change: followers report to their reader, which allocates credits each interval and sends each follower its grant; readers lend to one another. The relay passes the messages when the setting credits is on, and is unchanged when it is off.

--- a/beliefs.c
+++ b/beliefs.c
@@ -1,5 +1,6 @@
 #include "beliefs.h"
 
+#include "credit/account.h"
 #include "decision.h"
 #include "gstr.h"
 #include "timeutil.h"
@@ -39,6 +40,8 @@
 	placing_init(&cs->placing, &placing);
 	steer.registry = cs->registry;
 	steer.routing = cs->routing;
+	if (opts->credits)
+		cs->account = credit_account_new(cs->registry, &cs->counters);
 	cs->steer = steer_new(&steer);
 	cs->withdrawn_listed = g_hash_table_new(NULL, NULL);
 	cs->malformed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -51,6 +54,7 @@
 	g_hash_table_unref(cs->malformed);
 	g_hash_table_unref(cs->withdrawn_listed);
 	steer_free(cs->steer);
+	credit_account_free(cs->account);
 	placing_release(&cs->placing);
 	routing_free(cs->routing);
 	registry_free(cs->registry);
--- a/beliefs.h
+++ b/beliefs.h
@@ -32,6 +32,7 @@
 	struct registry *registry;
 	struct routing *routing;
 	struct placing placing;
+	struct credit_account *account; /* NULL without credits */
 	struct steer *steer;
 	struct edge_counters counters;
 	GHashTable *lapsed;    /* GString id to struct timespec: when the target is removed */
@@ -59,6 +60,7 @@
 	uint32_t cold_gap_ms;
 	uint32_t verify_ms;
 	size_t max_flows;
+	bool credits;
 	struct random *random;
 	struct steer_out *out;
 };
--- a/credit/exchange.h
+++ b/credit/exchange.h
@@ -43,7 +43,8 @@
 	struct credit_account *account;
 	struct exchange_out *out;
 	struct random *random;
-	uint32_t self; /* IPv4 address of this instance */
+	uint32_t self;	      /* IPv4 address of this instance */
+	uint32_t incarnation; /* increases with each start; sequence numbers begin with it */
 	uint32_t interval_ms;
 };
 
@@ -54,6 +55,12 @@
 /* The reader has changed, or the process was suspended: ends the grants in force. */
 void exchange_reset(struct exchange *ex, struct timespec now);
 
+/*
+ * Planned stop: no more reports and grants. The grants in force last until they expire, because
+ * the reader keeps their credits for this instance as long.
+ */
+void exchange_stop(struct exchange *ex);
+
 /* Messages; malformed ones are counted and dropped. */
 void exchange_receive_report(struct exchange *ex, uint32_t src, const peer_credit_report *msg,
 			     struct timespec now);
@@ -68,6 +75,22 @@
 		      struct timespec now);
 
 void exchange_timer(struct exchange *ex, struct timespec now);
+/* Milliseconds until exchange_timer() is due; may be negative. */
 int64_t exchange_due_ms(const struct exchange *ex, struct timespec now);
 
+/* State for metrics. Of a follower, members, services and the rest of the reader's are 0. */
+struct exchange_status {
+	uint32_t members;  /* instances of the data centre that report, with the reader itself */
+	uint32_t services; /* services that take part */
+	uint32_t left_out; /* targets that are left out in part */
+	uint32_t lent;	   /* credits lent to other data centres */
+	uint32_t borrowed; /* credits borrowed from them */
+	uint32_t held;	   /* by this instance, of all services, as are the following */
+	uint32_t in_use;
+	int64_t age_ms; /* of the oldest grant in force; -1 for none */
+};
+
+void exchange_status(const struct exchange *ex, struct timespec now,
+		     struct exchange_status *status);
+
 #endif
--- a/edge-counters.h
+++ b/edge-counters.h
@@ -39,7 +39,7 @@
 	X(store_calls, "calls to the platform's store")                                            \
 	X(store_errors, "calls to the platform's store that failed")                               \
 	X(entries_malformed, "entries of the store that could not be used")                        \
-	X(credit_reports_in, "reports of demand received from followers and borrowers")             \
+	X(credit_reports_in, "reports of demand received from followers and borrowers")            \
 	X(credit_reports_out, "reports of demand sent to readers")                                 \
 	X(credit_grants_in, "grants of credits received")                                          \
 	X(credit_grants_out, "grants of credits sent")                                             \
--- a/edge-metrics.c
+++ b/edge-metrics.c
@@ -60,6 +60,30 @@
 		    cnt->peer_replayed);
 }
 
+static void add_credits(GString *out, const struct exchange *ex, struct timespec now)
+{
+	struct exchange_status status;
+
+	exchange_status(ex, now, &status);
+	add_gauge(out, "credit_members", "instances whose demand this one allocates credits to",
+		  status.members);
+	add_gauge(out, "credit_services", "services that take part in the allocation of credits",
+		  status.services);
+	add_gauge(out, "credit_targets_left_out", "targets left out in part because they fail",
+		  status.left_out);
+	add_gauge(out, "credits_lent", "credits lent to other data centres", status.lent);
+	add_gauge(out, "credits_borrowed", "credits borrowed from other data centres",
+		  status.borrowed);
+	add_gauge(out, "credits_held", "credits held by this instance", status.held);
+	add_gauge(out, "credits_in_use", "requests in progress at targets with credits",
+		  status.in_use);
+	add_gauge(out, "credit_grant_in_force", "1 while this instance has a grant of credits",
+		  status.age_ms >= 0);
+	if (status.age_ms >= 0)
+		add_gauge(out, "credit_grant_age_milliseconds", "age of the grant in force",
+			  (uint64_t)status.age_ms);
+}
+
 void edge_metrics_write(GString *out, const struct edge_status *status)
 {
 	struct control_state *cs = status->control_state;
@@ -93,6 +117,8 @@
 		"time since the store last answered about the configuration");
 	if (status->relay)
 		add_relay(out, status->relay);
+	if (status->relay && relay_exchange(status->relay))
+		add_credits(out, relay_exchange(status->relay), status->now);
 	histogram_write(out, steer_accept_times(cs->steer), "opening_seconds",
 			"time from an opening to the first packet after its acceptance");
 	histogram_write(out, steer_target_list_ages(cs->steer), "belief_age_seconds",
--- a/edge.c
+++ b/edge.c
@@ -615,6 +615,7 @@
 		.cold_gap_ms = opts->set->cold_gap_ms,
 		.verify_ms = opts->set->verify_ms,
 		.max_flows = opts->set->max_flows,
+		.credits = opts->set->credits,
 		.random = opts->random,
 		.out = &edge->out.base,
 	};
@@ -672,6 +673,8 @@
 		.incarnation = edge->opts.incarnation,
 		.memory_mb = edge->opts.set->memory_mb,
 		.random = system_random(),
+		.account = edge->control_state.account,
+		.credit_interval_ms = edge->opts.set->credit_interval_ms,
 	};
 
 	edge->upstream = upstream;
--- a/relay-internal.h
+++ b/relay-internal.h
@@ -1,4 +1,7 @@
-/* State shared by the two sides of the relay: relay.c (follower) and relay-reader.c (reader). */
+/*
+ * State shared by the parts of the relay: relay.c (follower), relay-reader.c (reader) and
+ * relay-credit.c (messages of credits).
+ */
 #ifndef RELAY_INTERNAL_H
 #define RELAY_INTERNAL_H
 
@@ -73,6 +76,11 @@
 	uint32_t sent_flags;
 	uint64_t sent_config_version;
 	uint64_t sent_withdrawals;
+
+	/* Credits. */
+	struct exchange *exchange; /* NULL without credits */
+	struct exchange_out exchange_out;
+	GPtrArray *lenders; /* struct relay_lender */
 };
 
 void relay_channel_open(struct relay *relay, struct relay_channel *chan,
@@ -98,4 +106,14 @@
 void relay_reader_send_updates(struct relay *relay, bool heartbeat);
 void relay_reader_timer(struct relay *relay);
 
+/* Credits, in relay-credit.c; these functions do nothing without credits. */
+void relay_credit_init(struct relay *relay);
+void relay_credit_release(struct relay *relay);
+/* The role has changed. */
+void relay_credit_set_role(struct relay *relay);
+void relay_credit_message(struct relay *relay, uint32_t src, const peer_msg *msg);
+/* The channel to the reader of another data centre that a datagram from it uses, or NULL. */
+struct relay_channel *relay_credit_channel(const struct relay *relay, struct endpoint src,
+					   const uint8_t *bytes, size_t len);
+
 #endif
--- a/relay-reader.c
+++ b/relay-reader.c
@@ -98,6 +98,8 @@
 	if (msg->type == PEER_VIEW_QUESTION &&
 	    (relay->role == RELAY_READING || relay->role == RELAY_ALONE))
 		handle_request(relay, src, &msg->peer_msg_u.view_ask);
+	else if (msg->type == PEER_CREDIT_REPORT)
+		relay_credit_message(relay, src, msg);
 }
 
 const struct peer_handler_ops relay_reader_ops = {
--- a/relay.c
+++ b/relay.c
@@ -83,6 +83,7 @@
 		     (long long)relay->opts.control_state->complete[CONTROL_TARGETS],
 		     relay_followers(relay));
 	relay->role = role;
+	relay_credit_set_role(relay);
 }
 
 static void transmit(struct peer_transport *transport, struct endpoint dst, const uint8_t *bytes,
@@ -469,6 +470,8 @@
 	if (msg->type == PEER_VIEW && src == relay->reader.ep.ip &&
 	    msg->peer_msg_u.view.session == relay->session)
 		handle_page(relay, &msg->peer_msg_u.view);
+	else if (msg->type == PEER_CREDIT_GRANT && src == relay->reader.ep.ip)
+		relay_credit_message(relay, src, msg);
 }
 
 static const struct peer_handler_ops follower_ops = {
@@ -481,8 +484,10 @@
 		   struct timespec now)
 {
 	bool follower = relay->role == RELAY_JOINING || relay->role == RELAY_FOLLOWING;
-	struct relay_channel *chan = follower ? &relay->to_reader : &relay->to_followers;
+	struct relay_channel *chan = relay_credit_channel(relay, src, bytes, len);
 
+	if (!chan)
+		chan = follower ? &relay->to_reader : &relay->to_followers;
 	relay->now = now;
 	if (chan->peer)
 		peer_receive(chan->peer, src, bytes, len);
@@ -503,6 +508,8 @@
 {
 	relay->now = now;
 	relay->process_resumed = now;
+	if (relay->exchange)
+		exchange_reset(relay->exchange, now);
 	if (relay->upstream_paused) {
 		/* A new session invalidates the pages that are queued in the socket. */
 		relay->session = random_session(relay);
@@ -574,6 +581,8 @@
 		reading_timer(relay);
 		break;
 	}
+	if (relay->exchange)
+		exchange_timer(relay->exchange, now);
 }
 
 int64_t relay_due_ms(const struct relay *relay, struct timespec now)
@@ -596,6 +605,8 @@
 		due = ts_diff_ms(relay->next_heartbeat, now);
 		break;
 	}
+	if (relay->exchange)
+		due = MIN(due, exchange_due_ms(relay->exchange, now));
 	return MAX(due, 1);
 }
 
@@ -606,6 +617,7 @@
 	relay->opts = *opts;
 	relay->followers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	view_progress_init(&relay->progress);
+	relay_credit_init(relay);
 	return relay;
 }
 
@@ -613,6 +625,7 @@
 {
 	if (!relay)
 		return;
+	relay_credit_release(relay);
 	relay_channel_close(&relay->to_reader);
 	relay_channel_close(&relay->to_followers);
 	view_progress_release(&relay->progress);
@@ -633,6 +646,8 @@
 {
 	relay->now = now;
 	relay->stopping = true;
+	if (relay->exchange)
+		exchange_stop(relay->exchange);
 	if (relay->role == RELAY_READING)
 		relay_reader_send_updates(relay, true);
 	g_hash_table_remove_all(relay->followers);
--- a/relay.h
+++ b/relay.h
@@ -15,6 +15,7 @@
 #ifndef RELAY_H
 #define RELAY_H
 
+#include "credit/exchange.h"
 #include "peer.h"
 #include "upstream.h"
 
@@ -45,6 +46,8 @@
 	uint32_t incarnation; /* increases with each start */
 	uint32_t memory_mb;   /* memory of the machine, 0 if unknown */
 	struct random *random;
+	struct credit_account *account; /* NULL: without credits */
+	uint32_t credit_interval_ms;
 };
 
 struct relay *relay_new(const struct relay_options *opts);
@@ -75,6 +78,10 @@
  */
 void relay_claim_done(struct relay *relay, bool claimed, struct timespec now);
 
+/* Result of the upstream's list of readers. */
+void relay_readers_listed(struct relay *relay, const struct exchange_reader *readers, size_t nr,
+			  struct timespec now);
+
 void relay_timer(struct relay *relay, struct timespec now);
 int64_t relay_due_ms(const struct relay *relay, struct timespec now);
 
@@ -82,5 +89,7 @@
 const char *relay_role_name(enum relay_role role);
 unsigned int relay_followers(const struct relay *relay);
 const struct counters *relay_counters(const struct relay *relay);
+/* The exchange of credits; NULL without credits. */
+const struct exchange *relay_exchange(const struct relay *relay);
 
 #endif
