--- a/credit/exchange.c
+++ b/credit/exchange.c
@@ -35,12 +35,14 @@
 		g_array_append_val(ex->granted, service);
 	}
 	credit_apply_grant(ex->opts.account, grant, now);
+	steer_credits_changed(ex_state(ex)->steer, now);
 }
 
-static void drop_grants(struct exchange *ex)
+static void drop_grants(struct exchange *ex, struct timespec now)
 {
 	g_array_set_size(ex->granted, 0);
 	credit_drop_grants(ex->opts.account);
+	steer_credits_changed(ex_state(ex)->steer, now);
 }
 
 struct exchange *exchange_new(const struct exchange_options *opts)
@@ -72,7 +74,7 @@
 
 static void begin_rounds(struct exchange *ex, struct timespec now)
 {
-	drop_grants(ex);
+	drop_grants(ex, now);
 	ex->last_report = now;
 	ex->next_round = ts_add_ms(now, ex->opts.interval_ms);
 	ex->accept_from = now;
--- a/edge.c
+++ b/edge.c
@@ -673,7 +673,7 @@
 		.incarnation = edge->opts.incarnation,
 		.memory_mb = edge->opts.set->memory_mb,
 		.random = system_random(),
-		.account = edge->control_state.account,
+		.account = edge->control_state.credit,
 		.credit_interval_ms = edge->opts.set->credit_interval_ms,
 	};
 
