credit: test the exchange of credits

Cause: credits that are allocated twice, kept by instances that have gone or granted by an outdated reader make targets reject requests. Change: a simulation of exchanges with lost, late, repeated and malformed messages, of readers and followers that die or pause, and of lending. A reader that resumes no longer counts its own first interval as 1 ms.

--- a/credit/exchange-internal.h
+++ b/credit/exchange-internal.h
@@ -162,8 +162,8 @@
 /* Members of a reader and their services, in exchange-member.c. */
 void ex_reader_start(struct exchange *ex, struct timespec now);
 void ex_reader_end(struct exchange *ex);
-/* Forgets the members, whose reports are outdated; new ones count from @from on. */
-void ex_reader_reset(struct exchange *ex, struct timespec from);
+/* Forgets the members, whose reports are outdated; new ones count from accept_from on. */
+void ex_reader_reset(struct exchange *ex, struct timespec now);
 /* Adds what this instance itself has to report. */
 void ex_report_self(struct exchange *ex, struct timespec now);
 /* Moves the window of openings to the present part. */
--- a/credit/exchange-member.c
+++ b/credit/exchange-member.c
@@ -28,12 +28,12 @@
 	*svc = (struct ex_service){ .service = SYMBOL_NONE };
 }
 
-void ex_reader_reset(struct exchange *ex, struct timespec from)
+void ex_reader_reset(struct exchange *ex, struct timespec now)
 {
 	g_hash_table_remove_all(ex->members);
-	ex->started = from;
-	ex->last_round = from;
-	ex->window_moved = from;
+	ex->started = ex->accept_from;
+	ex->last_round = now;
+	ex->window_moved = now;
 }
 
 void ex_reader_start(struct exchange *ex, struct timespec now)
@@ -314,16 +314,18 @@
 /* Adds what a member has reported since the latest round to its averages. */
 static void update_rates(struct ex_member *member)
 {
+	uint32_t interval_ms = MAX(member->interval_ms, (uint32_t)EXCHANGE_URGENT_MS);
+
 	if (!member->interval_ms)
 		return;
 	for (size_t i = 0; i < EXCHANGE_MAX_SERVICES; i++) {
 		for (size_t j = 0; j < CREDIT_PRIORITIES; j++) {
 			uint64_t rate = (uint64_t)member->openings[i][j] * MSEC_PER_SEC *
-					MSEC_PER_SEC / member->interval_ms;
+					MSEC_PER_SEC / interval_ms;
 			uint64_t *avg = &member->rate_milli[i][j];
 
 			*avg = member->rated ? (uint64_t)ex_average((int64_t)*avg, (int64_t)rate,
-								    member->interval_ms)
+								    interval_ms)
 					     : rate;
 		}
 	}
--- a/credit/exchange.c
+++ b/credit/exchange.c
@@ -85,7 +85,7 @@
 	begin_rounds(ex, now);
 	ex->accept_from = ex->next_round;
 	if (ex->role == EXCHANGE_READER)
-		ex_reader_reset(ex, ex->accept_from);
+		ex_reader_reset(ex, now);
 }
 
 void exchange_set_role(struct exchange *ex, enum exchange_role role, struct timespec now)
--- /dev/null
+++ b/t/test-exchange.c
@@ -0,0 +1,754 @@
+/*
+ * Guards against credits that are allocated twice, kept by instances that have gone, or granted by
+ * an outdated reader, and against messages that change anything although they are malformed.
+ */
+#include <sodium.h>
+
+#include "t/credit-sim.h"
+
+#define TARGETS	  10
+#define SLOTS	  (2 * TARGETS)
+#define FOLLOWERS 9
+/* One to three queue credits for each slot. */
+#define CREDITS_MAX (SLOTS * 4)
+
+/* A reader with followers in data centre "home", each with @per_s openings, after @ms. */
+static struct csim *fleet_new(uint32_t per_s, int64_t ms)
+{
+	struct csim *sim = g_new(struct csim, 1);
+
+	csim_init(sim);
+	csim_add_targets(sim, "home", TARGETS);
+	csim_add_node(sim, "home", 0, EXCHANGE_READER, per_s);
+	for (unsigned int i = 0; i < FOLLOWERS; i++)
+		csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, per_s);
+	csim_run(sim, ms);
+	return sim;
+}
+
+static void test_grants(void)
+{
+	struct csim *sim = fleet_new(10, 600);
+	struct csim_node *reader = &sim->nodes[0];
+
+	/* Two intervals pass before the first round, so that all have reported. */
+	for (unsigned int i = 0; i < sim->nr; i++)
+		g_assert_true(csim_active(&sim->nodes[i]));
+	csim_run(sim, 3000);
+	g_assert_cmpuint(csim_status(reader).members, ==, FOLLOWERS + 1);
+	g_assert_cmpuint(csim_status(reader).services, ==, 1);
+	g_assert_cmpuint(csim_status(reader).left_out, ==, 0);
+	for (int round = 0; round < 50; round++) {
+		csim_run(sim, 50);
+		for (unsigned int i = 0; i < sim->nr; i++) {
+			g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
+			g_assert_cmpint(csim_status(&sim->nodes[i]).age_ms, <=, 600);
+		}
+		/* A credit that moves is held twice until both grants have arrived. */
+		g_assert_cmpuint(csim_held_by(sim, 0, sim->nr), <=, CREDITS_MAX + SLOTS);
+		g_assert_cmpuint(csim_held_by(sim, 0, sim->nr), >=, 2 * SLOTS - 4);
+	}
+	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 0);
+	csim_release(sim);
+}
+
+static void test_lost_and_late(void)
+{
+	struct csim *sim = fleet_new(10, 2000);
+	uint64_t dropped;
+
+	sim->loss_percent = 20;
+	sim->late_percent = 30;
+	sim->repeat_percent = 20;
+	for (int round = 0; round < 200; round++) {
+		csim_run(sim, 50);
+		for (unsigned int i = 0; i < sim->nr; i++)
+			g_assert_true(csim_active(&sim->nodes[i]));
+	}
+	dropped = sim->nodes[0].cs.counters.credit_dropped;
+	g_test_message("reports dropped: %lld of %lld", (long long)dropped,
+		       (long long)sim->nodes[0].cs.counters.credit_reports_in);
+	g_assert_cmpuint(dropped, >, 0);
+	g_assert_cmpuint(sim->nodes[1].cs.counters.credit_dropped, >, 0);
+	csim_release(sim);
+}
+
+static void test_reader_dies(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	int64_t died = sim->now_ms;
+
+	csim_kill(&sim->nodes[0]);
+	csim_run(sim, 1000);
+	g_assert_true(csim_active(&sim->nodes[3]));
+	csim_run(sim, 1000);
+	for (unsigned int i = 1; i < sim->nr; i++)
+		g_assert_false(csim_active(&sim->nodes[i]));
+	for (unsigned int i = 1; i < sim->nr; i++) {
+		sim->nodes[i].reader = 1;
+		if (i > 1)
+			exchange_reset(sim->nodes[i].ex, csim_now(sim));
+	}
+	exchange_set_role(sim->nodes[1].ex, EXCHANGE_READER, csim_now(sim));
+	csim_run(sim, 400);
+	g_assert_false(csim_active(&sim->nodes[2]));
+	csim_run(sim, 1200);
+	for (unsigned int i = 1; i < sim->nr; i++)
+		g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
+	g_assert_cmpint(sim->now_ms - died, <, 4000);
+	csim_release(sim);
+}
+
+/* A role that neither follows nor reads ends the grants at once. */
+static void test_role_ends(void)
+{
+	struct csim *sim = fleet_new(10, 2000);
+
+	exchange_set_role(sim->nodes[2].ex, EXCHANGE_OFF, csim_now(sim));
+	g_assert_false(csim_active(&sim->nodes[2]));
+	exchange_set_role(sim->nodes[0].ex, EXCHANGE_OFF, csim_now(sim));
+	g_assert_false(csim_active(&sim->nodes[0]));
+	g_assert_cmpint(exchange_due_ms(sim->nodes[0].ex, csim_now(sim)), ==, INT64_MAX);
+	csim_release(sim);
+}
+
+static void test_two_readers(void)
+{
+	struct csim *sim = fleet_new(10, 2000);
+
+	for (unsigned int i = 5; i < sim->nr; i++)
+		sim->nodes[i].reader = 5;
+	exchange_set_role(sim->nodes[5].ex, EXCHANGE_READER, csim_now(sim));
+	for (unsigned int i = 6; i < sim->nr; i++)
+		exchange_reset(sim->nodes[i].ex, csim_now(sim));
+	for (int round = 0; round < 100; round++) {
+		csim_run(sim, 50);
+		g_assert_cmpuint(csim_held_by(sim, 0, 5), <=, CREDITS_MAX + SLOTS);
+		g_assert_cmpuint(csim_held_by(sim, 5, sim->nr), <=, CREDITS_MAX + SLOTS);
+	}
+	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, 5);
+	g_assert_cmpuint(csim_status(&sim->nodes[5]).members, ==, 5);
+	csim_release(sim);
+}
+
+static void test_follower_dies(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	uint32_t before = csim_held_by(sim, 0, sim->nr);
+
+	for (unsigned int i = 6; i < sim->nr; i++)
+		csim_kill(&sim->nodes[i]);
+	csim_run(sim, 1000);
+	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
+	csim_run(sim, 1000);
+	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS - 3);
+	g_assert_cmpuint(csim_held_by(sim, 0, 6), >=, before - 4);
+	csim_release(sim);
+}
+
+static void test_paused_follower(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *node = &sim->nodes[4];
+
+	node->paused = true;
+	csim_run(sim, 5000);
+	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS);
+	node->paused = false;
+	exchange_reset(node->ex, csim_now(sim));
+	/* The grants of the pause are in the socket; the latest is 4 s old. */
+	csim_run(sim, 100);
+	g_assert_false(csim_active(node));
+	csim_run(sim, 900);
+	g_assert_true(csim_active(node));
+	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
+	csim_release(sim);
+}
+
+static void test_paused_reader(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *reader = &sim->nodes[0];
+
+	reader->paused = true;
+	csim_run(sim, 3000);
+	g_assert_false(csim_active(&sim->nodes[1]));
+	reader->paused = false;
+	exchange_reset(reader->ex, csim_now(sim));
+	g_assert_false(csim_active(reader));
+	csim_run(sim, 100);
+	/* Queued reports do not count, and there is no allocation from a part of the members. */
+	g_assert_cmpuint(csim_status(reader).members, ==, 0);
+	csim_run(sim, 1400);
+	for (unsigned int i = 0; i < sim->nr; i++)
+		g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
+	csim_release(sim);
+}
+
+static void test_death(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *node = &sim->nodes[4];
+	struct reg_target *tgt = registry_by_id(node->cs.registry, "home-3");
+	int64_t found;
+
+	csim_target(sim, "home-3")->dead = true;
+	csim_run(sim, 100);
+	tgt->trust = TRUST_DEAD;
+	credit_note_dead(node->cs.credit, tgt);
+	found = sim->now_ms;
+	csim_run(sim, 70);
+	g_assert_cmpint(node->report_sent_ms, >, found);
+	g_assert_cmpint(node->report_sent_ms - found, <=, 60);
+	csim_run(sim, CSIM_INTERVAL_MS + 2 * CSIM_LINK_MS);
+	for (unsigned int i = 1; i < sim->nr; i++)
+		g_assert_false(g_hash_table_contains(sim->nodes[i].granted, &tgt->digest));
+	csim_release(sim);
+}
+
+static void test_stop(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *node = &sim->nodes[4];
+	uint64_t sent;
+
+	exchange_stop(node->ex);
+	sent = node->cs.counters.credit_reports_out;
+	csim_run(sim, 1000);
+	g_assert_cmpuint(node->cs.counters.credit_reports_out, ==, sent);
+	/* Its credits are kept for it until it is dropped, so it may use them. */
+	g_assert_true(csim_active(node));
+	csim_run(sim, 2500);
+	g_assert_false(csim_active(node));
+	exchange_stop(sim->nodes[0].ex);
+	sent = sim->nodes[0].cs.counters.credit_grants_out;
+	csim_run(sim, 2000);
+	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_grants_out, ==, sent);
+	g_assert_false(csim_active(&sim->nodes[1]));
+	csim_release(sim);
+}
+
+struct part_case {
+	const char *name;
+	uint32_t per_s; /* of each instance */
+	uint32_t reused_per_s;
+	bool no_goal;
+	bool takes_part;
+	unsigned int nr; /* of instances, 0 for 10 */
+};
+
+static const struct part_case parts[] = {
+	{ "no-openings", 0, 0, false, false }, { "openings", 2, 0, false, true },
+	{ "few-reused", 20, 1, false, true },  { "many-reused", 20, 6, false, false },
+	{ "no-goal", 20, 0, true, false },
+};
+
+static void test_part(gconstpointer data)
+{
+	const struct part_case *c = data;
+	struct csim *sim = g_new(struct csim, 1);
+	struct csim_node *reader;
+
+	csim_init(sim);
+	sim->no_goal = c->no_goal;
+	csim_add_targets(sim, "home", TARGETS);
+	for (unsigned int i = 0; i < (c->nr ? c->nr : 10); i++) {
+		reader = csim_add_node(sim, "home", 0, i ? EXCHANGE_FOLLOWER : EXCHANGE_READER,
+				       c->per_s);
+		reader->reused_per_s = c->reused_per_s;
+	}
+	reader = &sim->nodes[0];
+	csim_run(sim, 5000);
+	g_assert_cmpuint(csim_status(reader).services, ==, c->takes_part);
+	for (unsigned int i = 0; i < sim->nr; i++)
+		g_assert_true(csim_active(&sim->nodes[i]) == c->takes_part);
+	if (!c->takes_part)
+		g_assert_cmpuint(reader->cs.counters.credit_grants_out, ==, 0);
+	/* The end of taking part ends the grants, and then there are no more of them. */
+	for (unsigned int i = 0; i < sim->nr; i++)
+		sim->nodes[i].per_s = 0;
+	csim_run(sim, 3000);
+	for (unsigned int i = 0; i < sim->nr; i++)
+		g_assert_false(csim_active(&sim->nodes[i]));
+	csim_run(sim, 2000);
+	reader->bytes_out = 0;
+	csim_run(sim, 2000);
+	g_assert_cmpuint(reader->bytes_out, ==, 0);
+	csim_release(sim);
+}
+
+/* Changes to a valid message that must make it ineffective. */
+enum spoiling {
+	SPOIL_NOTHING,
+	SPOIL_REPEATED,
+	SPOIL_SEQUENCE_BACK,
+	SPOIL_INTERVAL,
+	SPOIL_INDEX,
+	SPOIL_OTHER_DATA_CENTRE,
+	SPOIL_WANTED,
+	SPOIL_WANTED_TOO_MUCH,
+	SPOIL_LENT_INDEX,
+	SPOIL_NO_CREDITS,
+	SPOIL_SPEED,
+	SPOIL_TWICE,
+	SPOIL_FLAG,
+};
+
+struct spoil_case {
+	const char *name;
+	enum spoiling what;
+	bool accepted;
+};
+
+static const struct spoil_case spoiled_reports[] = {
+	{ "valid", SPOIL_NOTHING, true },
+	{ "repeated", SPOIL_REPEATED },
+	{ "sequence-back", SPOIL_SEQUENCE_BACK },
+	{ "long-interval", SPOIL_INTERVAL },
+	{ "index-out-of-range", SPOIL_INDEX },
+	{ "other-data-centre-wants-nothing", SPOIL_OTHER_DATA_CENTRE },
+	{ "own-data-centre-wants-credits", SPOIL_WANTED },
+	{ "wants-too-much", SPOIL_WANTED_TOO_MUCH },
+};
+
+static const struct spoil_case spoiled_grants[] = {
+	{ "valid", SPOIL_NOTHING, true },
+	{ "repeated", SPOIL_REPEATED },
+	{ "sequence-back", SPOIL_SEQUENCE_BACK },
+	{ "index-out-of-range", SPOIL_INDEX },
+	{ "lent-index-out-of-range", SPOIL_LENT_INDEX },
+	{ "other-data-centre", SPOIL_OTHER_DATA_CENTRE },
+	{ "entry-without-credits", SPOIL_NO_CREDITS },
+	{ "speed-out-of-range", SPOIL_SPEED },
+	{ "target-twice", SPOIL_TWICE },
+	{ "for-a-borrower", SPOIL_FLAG },
+};
+
+static char other_data_centre[] = "away";
+
+static void spoil_report(peer_credit_report *msg, enum spoiling what)
+{
+	msg->sequence++;
+	g_assert_cmpuint(msg->observations.observations_len, >, 0);
+	switch (what) {
+	case SPOIL_REPEATED:
+		msg->sequence--;
+		break;
+	case SPOIL_SEQUENCE_BACK:
+		msg->sequence -= 3;
+		break;
+	case SPOIL_INTERVAL:
+		msg->interval_ms = 100000;
+		break;
+	case SPOIL_INDEX:
+		msg->observations.observations_val[0].service = msg->demands.demands_len;
+		break;
+	case SPOIL_OTHER_DATA_CENTRE:
+		msg->data_centre = other_data_centre;
+		break;
+	case SPOIL_WANTED:
+		msg->demands.demands_val[0].wanted_milli = 1;
+		break;
+	case SPOIL_WANTED_TOO_MUCH:
+		msg->data_centre = other_data_centre;
+		msg->demands.demands_val[0].wanted_milli = UINT32_MAX;
+		break;
+	default:
+		break;
+	}
+}
+
+static void spoil_grant(peer_credit_grant *msg, enum spoiling what)
+{
+	peer_credit_entry *entry = msg->entries.entries_val;
+	static peer_credit_entry lent = { 1, 1u << 24 | 1000, 9 };
+
+	msg->sequence++;
+	g_assert_cmpuint(msg->entries.entries_len, >, 1);
+	switch (what) {
+	case SPOIL_REPEATED:
+		msg->sequence--;
+		break;
+	case SPOIL_SEQUENCE_BACK:
+		msg->sequence -= 100;
+		break;
+	case SPOIL_INDEX:
+		entry->service = msg->services.services_len;
+		break;
+	case SPOIL_LENT_INDEX:
+		msg->lent.lent_len = 1;
+		msg->lent.lent_val = &lent;
+		break;
+	case SPOIL_OTHER_DATA_CENTRE:
+		msg->data_centre = other_data_centre;
+		break;
+	case SPOIL_NO_CREDITS:
+		entry->amounts = 1000;
+		break;
+	case SPOIL_SPEED:
+		entry->amounts |= UINT16_MAX;
+		break;
+	case SPOIL_TWICE:
+		entry[1].target = entry[0].target;
+		break;
+	case SPOIL_FLAG:
+		msg->flags |= PEER_CREDIT_LENT;
+		break;
+	default:
+		break;
+	}
+}
+
+/* Decodes a captured message; what spoil_*() puts in it is not freed with it. */
+static void decode(GBytes *bytes, peer_msg *msg, peer_msg *copy)
+{
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(bytes, &len);
+
+	g_assert_cmpint(peer_msg_decode(msg, data, len), ==, 0);
+	*copy = *msg;
+}
+
+static void test_spoiled_report(gconstpointer data)
+{
+	const struct spoil_case *c = data;
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *reader = &sim->nodes[0];
+	struct exchange_status before = csim_status(reader);
+	uint64_t in = reader->cs.counters.credit_reports_in;
+	peer_msg msg, copy;
+
+	csim_run(sim, 20);
+	in = reader->cs.counters.credit_reports_in;
+	decode(sim->nodes[1].last_report, &msg, &copy);
+	spoil_report(&copy.peer_msg_u.credit_report, c->what);
+	exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &copy.peer_msg_u.credit_report,
+				csim_now(sim));
+	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, !c->accepted);
+	g_assert_cmpuint(reader->cs.counters.credit_reports_in, ==, in + c->accepted);
+	/* Nor does it add a member, whoever sends it. */
+	if (!c->accepted && c->what != SPOIL_REPEATED && c->what != SPOIL_SEQUENCE_BACK) {
+		exchange_receive_report(reader->ex, CSIM_SELF_IP + 100,
+					&copy.peer_msg_u.credit_report, csim_now(sim));
+		g_assert_cmpuint(csim_status(reader).members, ==, before.members);
+		g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 2);
+	}
+	peer_msg_release(&msg);
+	csim_release(sim);
+}
+
+static void test_spoiled_grant(gconstpointer data)
+{
+	const struct spoil_case *c = data;
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *node = &sim->nodes[1];
+	struct exchange_status before;
+	peer_msg msg, copy;
+
+	csim_run(sim, 20);
+	before = csim_status(node);
+	decode(node->last_grant, &msg, &copy);
+	spoil_grant(&copy.peer_msg_u.credit_grant, c->what);
+	exchange_receive_grant(node->ex, CSIM_SELF_IP, &copy.peer_msg_u.credit_grant,
+			       csim_now(sim));
+	g_assert_cmpuint(node->cs.counters.credit_dropped, ==, !c->accepted);
+	g_assert_cmpuint(csim_held(node), ==, before.held);
+	if (!c->accepted)
+		g_assert_cmpint(csim_status(node).age_ms, ==, before.age_ms);
+	else
+		g_assert_cmpint(csim_status(node).age_ms, ==, 0);
+	peer_msg_release(&msg);
+	csim_release(sim);
+}
+
+/* Unknown services and targets have no effect, and nothing grows with their number. */
+static void test_unknown_names(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *reader = &sim->nodes[0];
+	guint symbols = reader->cs.symbols.names->len;
+	peer_credit_observation obs = { .completed_rejected = 5 << 16, .flags = PEER_CREDIT_DEAD };
+	char name[32];
+	peer_credit_demand demand = { .service = name, .openings = { 50 } };
+	peer_credit_report msg = {
+		.interval_ms = 250,
+		.data_centre = (char[]){ "home" },
+		.demands = { 1, &demand },
+		.observations = { 1, &obs },
+	};
+
+	for (unsigned int i = 0; i < 100; i++) {
+		g_snprintf(name, sizeof(name), "unknown-%u", i);
+		obs.target = i;
+		msg.sequence = UINT64_MAX / 2 + i;
+		exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &msg, csim_now(sim));
+	}
+	g_strlcpy(name, CSIM_SERVICE, sizeof(name));
+	msg.sequence++;
+	exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &msg, csim_now(sim));
+	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 0);
+	g_assert_cmpuint(reader->cs.symbols.names->len, ==, symbols);
+	csim_run(sim, 300);
+	g_assert_cmpuint(csim_status(reader).services, ==, 1);
+	csim_release(sim);
+}
+
+static void test_many_members(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *reader = &sim->nodes[0];
+	peer_credit_report msg = { .sequence = 1, .interval_ms = 250 };
+
+	msg.data_centre = (char[]){ "home" };
+	for (unsigned int i = 0; i < 600; i++)
+		exchange_receive_report(reader->ex, 0x0b000000u + i, &msg, csim_now(sim));
+	g_assert_cmpuint(csim_status(reader).members, ==, 512);
+	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 600 + FOLLOWERS + 1 - 512);
+	csim_release(sim);
+}
+
+/* Nodes 0 to 4 are in "home", which has half of the targets that it needs, 5 to 9 in "away". */
+static struct csim *lending_new(void)
+{
+	struct csim *sim = g_new(struct csim, 1);
+
+	csim_init(sim);
+	csim_add_targets(sim, "home", 5);
+	csim_add_targets(sim, "away", 20);
+	for (unsigned int i = 0; i < 5; i++)
+		csim_add_node(sim, "home", 0, i ? EXCHANGE_FOLLOWER : EXCHANGE_READER, 10);
+	for (unsigned int i = 5; i < 10; i++)
+		csim_add_node(sim, "away", 5, i > 5 ? EXCHANGE_FOLLOWER : EXCHANGE_READER, 10);
+	for (unsigned int i = 0; i < 2; i++) {
+		sim->readers[i].data_centre = i ? "away" : "home";
+		sim->readers[i].entry.ep = (struct endpoint){ CSIM_SELF_IP + 5 * i, 7000 };
+		sim->readers[i].entry.revision = 1;
+	}
+	sim->nr_readers = 2;
+	csim_run(sim, 5000);
+	return sim;
+}
+
+static void set_demand(struct csim *sim, uint32_t per_s)
+{
+	for (unsigned int i = 0; i < 5; i++)
+		sim->nodes[i].per_s = per_s;
+}
+
+/* Lending must neither begin and end in turn nor outlast the shortage. */
+static void test_lending(void)
+{
+	struct csim *sim = lending_new();
+	struct csim_node *home = &sim->nodes[0];
+	struct csim_node *away = &sim->nodes[5];
+	uint32_t least = UINT32_MAX;
+	uint32_t most = 0;
+	unsigned int placed;
+
+	/* 50 of 170 openings a second that 10 slots of 50 ms bear: no shortage, no call. */
+	g_assert_cmpuint(csim_status(home).borrowed, ==, 0);
+	g_assert_cmpuint(home->lists, ==, 0);
+	/* 300 openings a second need 15 slots, 8.5 of 10 are usable: 6.5 are missing. */
+	set_demand(sim, 60);
+	csim_run(sim, 6000);
+	for (int round = 0; round < 200; round++) {
+		csim_run(sim, 50);
+		least = MIN(least, csim_status(home).borrowed);
+		most = MAX(most, csim_status(home).borrowed);
+	}
+	g_test_message("borrowed %u to %u", least, most);
+	g_assert_cmpuint(least, >=, 4);
+	g_assert_cmpuint(most, <=, 10);
+	g_assert_cmpuint(most - least, <=, 3);
+	g_assert_cmpuint(csim_status(away).lent, >=, least);
+	/* Followers, too, use lent targets. */
+	placed = sim->nodes[2].placed;
+	csim_run(sim, 1000);
+	g_assert_cmpuint(sim->nodes[2].placed - placed, >, 45);
+	/* One list in 10 s. */
+	g_assert_cmpuint(home->lists, <=, 2);
+	g_assert_cmpuint(away->lists, ==, 0);
+	set_demand(sim, 10);
+	csim_run(sim, 5000);
+	g_assert_cmpuint(csim_status(home).borrowed, ==, 0);
+	g_assert_cmpuint(csim_status(away).lent, ==, 0);
+	csim_release(sim);
+}
+
+/* A data centre without demand of its own lends too. */
+static void test_idle_lender(void)
+{
+	struct csim *sim = lending_new();
+
+	for (unsigned int i = 5; i < 10; i++)
+		sim->nodes[i].per_s = 0;
+	csim_run(sim, 4000);
+	g_assert_cmpuint(csim_status(&sim->nodes[5]).services, ==, 0);
+	set_demand(sim, 60);
+	csim_run(sim, 6000);
+	g_assert_cmpuint(csim_status(&sim->nodes[0]).borrowed, >=, 4);
+	csim_release(sim);
+}
+
+static void withdraw(struct csim *sim, const char *data_centre, bool withdrawn)
+{
+	for (unsigned int i = 0; i < sim->nr; i++)
+		control_state_withdraw(&sim->nodes[i].cs, data_centre, withdrawn, csim_now(sim));
+}
+
+static void test_withdrawn(void)
+{
+	struct csim *sim = lending_new();
+	struct csim_node *home = &sim->nodes[0];
+
+	set_demand(sim, 60);
+	csim_run(sim, 6000);
+	g_assert_cmpuint(csim_status(home).borrowed, >=, 4);
+	withdraw(sim, "away", true);
+	g_assert_cmpuint(csim_status(home).borrowed, ==, 0);
+	csim_run(sim, 2000);
+	g_assert_cmpuint(csim_status(home).borrowed, ==, 0);
+	g_assert_cmpuint(csim_status(&sim->nodes[5]).lent, ==, 0);
+	for (unsigned int i = 6; i < 10; i++)
+		g_assert_cmpuint(csim_held(&sim->nodes[i]), ==, 0);
+	withdraw(sim, "away", false);
+	csim_run(sim, 3000);
+	g_assert_cmpuint(csim_status(home).borrowed, >=, 4);
+	csim_release(sim);
+}
+
+/* An isolated data centre goes on with its own targets when lent credits have expired. */
+static void test_lender_dies(void)
+{
+	struct csim *sim = lending_new();
+	struct csim_node *home = &sim->nodes[0];
+
+	set_demand(sim, 60);
+	csim_run(sim, 6000);
+	csim_kill(&sim->nodes[5]);
+	csim_run(sim, 1000);
+	g_assert_cmpuint(csim_status(home).borrowed, >, 0);
+	csim_run(sim, 1000);
+	g_assert_cmpuint(csim_status(home).borrowed, ==, 0);
+	for (unsigned int i = 0; i < 5; i++)
+		g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
+	csim_release(sim);
+}
+
+/* Lent credits come only from a reader that was asked, and only for its own targets. */
+static void test_spoiled_lent(void)
+{
+	struct csim *sim = lending_new();
+	struct csim_node *home = &sim->nodes[0];
+	uint64_t own = registry_by_id(home->cs.registry, "home-1")->digest;
+	uint64_t dropped;
+	peer_msg msg, copy;
+	peer_credit_grant *grant = &copy.peer_msg_u.credit_grant;
+
+	set_demand(sim, 60);
+	csim_run(sim, 6000);
+	decode(home->last_grant, &msg, &copy);
+	grant->sequence = UINT64_MAX - 2;
+	dropped = home->cs.counters.credit_dropped;
+	exchange_receive_grant(home->ex, CSIM_SELF_IP + 6, grant, csim_now(sim));
+	grant->flags = 0;
+	exchange_receive_grant(home->ex, CSIM_SELF_IP + 5, grant, csim_now(sim));
+	grant->flags = PEER_CREDIT_LENT;
+	grant->data_centre = (char[]){ "home" };
+	exchange_receive_grant(home->ex, CSIM_SELF_IP + 5, grant, csim_now(sim));
+	g_assert_cmpuint(home->cs.counters.credit_dropped, ==, dropped + 3);
+	g_assert_cmpuint(csim_status(home).borrowed, >=, 4);
+	grant->data_centre = other_data_centre;
+	grant->entries.entries_len = 2;
+	grant->entries.entries_val[0].target = own;
+	grant->entries.entries_val[1].amounts = 3u << 24 | 1000; /* more than its slots */
+	exchange_receive_grant(home->ex, CSIM_SELF_IP + 5, grant, csim_now(sim));
+	g_assert_cmpuint(home->cs.counters.credit_dropped, ==, dropped + 3);
+	g_assert_cmpuint(csim_status(home).borrowed, ==, 0);
+	peer_msg_release(&msg);
+	csim_release(sim);
+}
+
+/* A whole fleet's messages at the largest planned size of a data centre, with a margin. */
+static void test_cost(void)
+{
+	struct csim *sim = g_new(struct csim, 1);
+	struct csim_node *reader;
+	uint64_t sent;
+	gsize largest_report = 0;
+	const int64_t ms = 5000;
+
+	csim_init(sim);
+	csim_add_targets(sim, "home", 200);
+	csim_add_node(sim, "home", 0, EXCHANGE_READER, 60);
+	for (unsigned int i = 0; i < 100; i++)
+		csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 60);
+	csim_run(sim, 3000);
+	reader = &sim->nodes[0];
+	reader->bytes_out = 0;
+	sent = reader->cs.counters.credit_grants_out;
+	csim_run(sim, ms);
+	sent = reader->cs.counters.credit_grants_out - sent;
+	for (unsigned int i = 1; i < sim->nr; i++)
+		largest_report = MAX(largest_report, sim->nodes[i].largest);
+	g_print("# %llu grants in %lld ms of %llu bytes on average, the largest %u; largest report "
+		"%zu; the reader sends %llu bytes a second\n",
+		(unsigned long long)sent, (long long)ms,
+		(unsigned long long)(reader->bytes_out / sent - CSIM_OVERHEAD_BYTES),
+		reader->largest, largest_report,
+		(unsigned long long)(reader->bytes_out * 1000 / ms));
+	g_assert_cmpuint(sent, >, 100 * 2 * (ms / 1000) - 100);
+	g_assert_cmpuint(reader->bytes_out * 1000 / ms, <, 300000);
+	csim_release(sim);
+}
+
+/* Grants are cut at the size of a datagram, and slot credits come first. */
+static void test_large_grant(void)
+{
+	struct csim *sim = g_new(struct csim, 1);
+
+	csim_init(sim);
+	csim_add_targets(sim, "home", 300);
+	csim_add_node(sim, "home", 0, EXCHANGE_READER, 1);
+	csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 900);
+	csim_run(sim, 3000);
+	g_assert_cmpuint(sim->nodes[0].largest, >, VIEW_MAX_MESSAGE_BYTES - 32);
+	g_assert_cmpuint(g_hash_table_size(sim->nodes[1].granted), >, 70);
+	csim_release(sim);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	if (sodium_init() < 0)
+		return 1;
+	g_test_add_func("/exchange/grants", test_grants);
+	g_test_add_func("/exchange/lost-and-late", test_lost_and_late);
+	g_test_add_func("/exchange/reader-dies", test_reader_dies);
+	g_test_add_func("/exchange/role-ends", test_role_ends);
+	g_test_add_func("/exchange/two-readers", test_two_readers);
+	g_test_add_func("/exchange/follower-dies", test_follower_dies);
+	g_test_add_func("/exchange/paused-follower", test_paused_follower);
+	g_test_add_func("/exchange/paused-reader", test_paused_reader);
+	g_test_add_func("/exchange/death", test_death);
+	g_test_add_func("/exchange/stop", test_stop);
+	g_test_add_func("/exchange/unknown-names", test_unknown_names);
+	g_test_add_func("/exchange/many-members", test_many_members);
+	g_test_add_func("/exchange/lending", test_lending);
+	g_test_add_func("/exchange/idle-lender", test_idle_lender);
+	g_test_add_func("/exchange/withdrawn", test_withdrawn);
+	g_test_add_func("/exchange/lender-dies", test_lender_dies);
+	g_test_add_func("/exchange/spoiled-lent-credits", test_spoiled_lent);
+	g_test_add_func("/exchange/cost", test_cost);
+	g_test_add_func("/exchange/large-grant", test_large_grant);
+#define ADD_CASES(prefix, cases, fn)                                                               \
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                                         \
+		char *path = g_strconcat("/exchange/" prefix "/", (cases)[i].name, NULL);          \
+		g_test_add_data_func(path, &(cases)[i], fn);                                       \
+		g_free(path);                                                                      \
+	}
+	ADD_CASES("takes-part", parts, test_part);
+	ADD_CASES("report", spoiled_reports, test_spoiled_report);
+	ADD_CASES("grant", spoiled_grants, test_spoiled_grant);
+	return g_test_run();
+}
