--- a/credit/exchange-lend.c
+++ b/credit/exchange-lend.c
@@ -294,7 +294,7 @@
 		lender->asked_milli[place] = 0;
 		if (!svc->borrows || !is_usable(ex, lender))
 			continue;
-		ask = lent_milli(lender, svc->service, now) + missing / nr;
+		ask = lent_milli(lender, svc->service, now) + missing / MAX(nr, 1);
 		lender->asked_milli[place] = (uint32_t)CLAMP(ask, ASK_MIN_MILLI, INT32_MAX / 64);
 	}
 }
--- a/decision.c
+++ b/decision.c
@@ -11,10 +11,10 @@
 #define LOG_LINES_PER_S 20
 
 static const char *const kind_names[DECISION_KINDS] = {
-	[DECISION_OPEN] = "open",   [DECISION_ACCEPT] = "accept",   [DECISION_REFUSE] = "refuse",
-	[DECISION_ADOPT] = "adopt", [DECISION_STALL] = "stall",	    [DECISION_RESET] = "reset",
-	[DECISION_DROP] = "drop",   [DECISION_TARGET] = "target",   [DECISION_CONFIG] = "config",
-	[DECISION_STORE] = "store", [DECISION_PROCESS] = "process", [DECISION_WAIT] = "wait",
+	[DECISION_OPEN] = "open",     [DECISION_ACCEPT] = "accept",   [DECISION_REFUSE] = "refuse",
+	[DECISION_ADOPT] = "adopt",   [DECISION_STALL] = "stall",     [DECISION_RESET] = "reset",
+	[DECISION_DROP] = "drop",     [DECISION_TARGET] = "target",   [DECISION_CONFIG] = "config",
+	[DECISION_STORE] = "store",   [DECISION_PROCESS] = "process", [DECISION_WAIT] = "wait",
 	[DECISION_CREDIT] = "credit",
 };
 
--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -415,7 +415,7 @@
 	struct csim *sim = fleet_new(10, 3000);
 	struct csim_node *reader = &sim->nodes[0];
 	struct exchange_status before = csim_status(reader);
-	uint64_t in = reader->cs.counters.credit_reports_in;
+	uint64_t in;
 	peer_msg msg, copy;
 
 	csim_run(sim, 20);
--- a/t/test-relay-credit.c
+++ b/t/test-relay-credit.c
@@ -7,6 +7,8 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "edge-metrics.h"
+#include "metrics.h"
 #include "random.h"
 #include "relay.h"
 #include "t/silent-out.h"
@@ -435,6 +437,75 @@
 	sim_free(sim);
 }
 
+static void check_metric(const GString *page, const char *name, uint64_t least, uint64_t most)
+{
+	char *line = g_strdup_printf("\n" METRICS_PREFIX "%s ", name);
+	const char *at = strstr(page->str, line);
+	uint64_t value;
+
+	g_test_message("%s", name);
+	g_assert_nonnull(at);
+	value = g_ascii_strtoull(at + strlen(line), NULL, 10);
+	g_assert_cmpuint(value, >=, least);
+	g_assert_cmpuint(value, <=, most);
+	g_free(line);
+}
+
+static GString *metrics_of(struct node *node)
+{
+	GString *page = g_string_new("\n");
+	struct histogram delays = { 0 };
+	struct edge_status status = {
+		.control_state = &node->cs,
+		.relay = node->relay,
+		.loop_delays = &delays,
+		.now = sim_now(node->sim),
+		.started = ts_from_ms(START_MS),
+	};
+
+	edge_metrics_write(page, &status);
+	return page;
+}
+
+/* An operator must see what is allocated, lent and dropped; without credits there is no gauge. */
+static void test_metrics(void)
+{
+	struct sim *sim = sim_new(true);
+	struct sim *off = sim_new(false);
+	struct node *reader;
+	GString *page;
+
+	run(sim, 6000);
+	set_demand(sim, 0, 100);
+	set_demand(sim, 1, 15);
+	run(sim, 5000);
+	reader = reader_of(sim, 0);
+	page = metrics_of(reader);
+	check_metric(page, "credit_members", NODES_PER_DC, NODES_PER_DC);
+	check_metric(page, "credit_services", 1, 1);
+	check_metric(page, "credit_targets_left_out", 0, 0);
+	check_metric(page, "credits_borrowed", 2, 8);
+	check_metric(page, "credits_lent", 0, 0);
+	check_metric(page, "credits_held", 4, 40);
+	check_metric(page, "credits_in_use", 1, 40);
+	check_metric(page, "credit_grant_in_force", 1, 1);
+	check_metric(page, "credit_grant_age_milliseconds", 0, 250);
+	check_metric(page, "credit_reports_in_total", 15, 60);
+	check_metric(page, "credit_reports_out_total", 5, 20);
+	check_metric(page, "credit_grants_in_total", 5, 20);
+	check_metric(page, "credit_grants_out_total", 8, 40);
+	check_metric(page, "credit_dropped_total", 0, 0);
+	g_string_free(page, TRUE);
+	page = metrics_of(reader_of(sim, 1));
+	check_metric(page, "credits_lent", 2, 8);
+	g_string_free(page, TRUE);
+	page = metrics_of(&off->nodes[0]);
+	g_assert_null(strstr(page->str, "credits_held"));
+	g_string_free(page, TRUE);
+	sim_free(sim);
+	sim_free(off);
+}
+
 /* Grants end at a planned stop of the reader, and after a suspension. */
 static void test_ends(void)
 {
@@ -510,6 +581,7 @@
 	if (sodium_init() < 0)
 		return 1;
 	g_test_add_func("/relay-credit/lending", test_lending);
+	g_test_add_func("/relay-credit/metrics", test_metrics);
 	g_test_add_func("/relay-credit/ends", test_ends);
 	g_test_add_func("/relay-credit/off", test_off);
 	g_test_add_func("/relay-credit/forged", test_forged);
