--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -679,7 +679,7 @@
 	const int64_t ms = 5000;
 
 	csim_init(sim);
-	csim_add_targets(sim, "home", 200);
+	csim_add_targets(sim, "home", 400);
 	csim_add_node(sim, "home", 0, EXCHANGE_READER, 60);
 	for (unsigned int i = 0; i < 100; i++)
 		csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 60);
@@ -702,7 +702,7 @@
 	csim_release(sim);
 }
 
-/* Grants are cut at the size of a datagram, and slot credits come first. */
+/* Grants are cut at the size of a datagram, and reports are continued in further messages. */
 static void test_large_grant(void)
 {
 	struct csim *sim = g_new(struct csim, 1);
@@ -714,6 +714,10 @@
 	csim_run(sim, 3000);
 	g_assert_cmpuint(sim->nodes[0].largest, >, VIEW_MAX_MESSAGE_BYTES - 32);
 	g_assert_cmpuint(g_hash_table_size(sim->nodes[1].granted), >, 70);
+	g_assert_cmpuint(sim->nodes[1].largest, >, VIEW_MAX_MESSAGE_BYTES - 32);
+	g_assert_cmpuint(sim->nodes[1].cs.counters.credit_reports_out, >, 3000 / CSIM_INTERVAL_MS);
+	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_reports_in, >, 3000 / CSIM_INTERVAL_MS);
+	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_dropped, ==, 0);
 	csim_release(sim);
 }
 
