test-exchange: bounds that hold for any sequence of random numbers

At 20% loss and 30% late messages, of which most are overtaken and dropped, 40% of the messages are without effect. Change: at 2% loss and 5% late messages every instance must have a grant at any time, at the high rates in 98% of the samples, and in all of them again afterwards. The credits of dead followers are compared with the same bound as in the test of grants, since their sum varies by rounding.

--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -53,24 +53,39 @@
 	csim_release(sim);
 }
 
-static void test_lost_and_late(void)
+/* Share of the samples of all instances in 10 s that have no grant in force, in thousandths. */
+static unsigned int without_grant(struct csim *sim)
 {
-	struct csim *sim = fleet_new(10, 2000);
-	uint64_t dropped;
+	unsigned int nr = 0;
 
-	sim->loss_percent = 20;
-	sim->late_percent = 30;
-	sim->repeat_percent = 20;
 	for (int round = 0; round < 200; round++) {
 		csim_run(sim, 50);
 		for (unsigned int i = 0; i < sim->nr; i++)
-			g_assert_true(csim_active(&sim->nodes[i]));
+			nr += !csim_active(&sim->nodes[i]);
 	}
-	dropped = sim->nodes[0].cs.counters.credit_dropped;
-	g_test_message("reports dropped: %lld of %lld", (long long)dropped,
-		       (long long)sim->nodes[0].cs.counters.credit_reports_in);
-	g_assert_cmpuint(dropped, >, 0);
+	return nr * 1000 / (200 * sim->nr);
+}
+
+static void test_lost_and_late(void)
+{
+	struct csim *sim = fleet_new(10, 2000);
+	unsigned int without;
+
+	sim->loss_percent = 2;
+	sim->late_percent = 5;
+	sim->repeat_percent = 20;
+	g_assert_cmpuint(without_grant(sim), ==, 0);
+	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_dropped, >, 0);
 	g_assert_cmpuint(sim->nodes[1].cs.counters.credit_dropped, >, 0);
+	/* A late message is as good as lost: of 40%, five in succession are lost at times. */
+	sim->loss_percent = 20;
+	sim->late_percent = 30;
+	without = without_grant(sim);
+	g_test_message("without a grant: %u of 1000", without);
+	g_assert_cmpuint(without, <=, 20);
+	sim->loss_percent = sim->late_percent = 0;
+	csim_run(sim, 2000);
+	g_assert_cmpuint(without_grant(sim), ==, 0);
 	csim_release(sim);
 }
 
@@ -135,7 +150,6 @@
 static void test_follower_dies(void)
 {
 	struct csim *sim = fleet_new(10, 3000);
-	uint32_t before = csim_held_by(sim, 0, sim->nr);
 
 	for (unsigned int i = 6; i < sim->nr; i++)
 		csim_kill(&sim->nodes[i]);
@@ -143,7 +157,8 @@
 	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
 	csim_run(sim, 1000);
 	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS - 3);
-	g_assert_cmpuint(csim_held_by(sim, 0, 6), >=, before - 4);
+	/* Without the credits of the dead four, about 24 would be held; see test_grants(). */
+	g_assert_cmpuint(csim_held_by(sim, 0, 6), >=, 2 * SLOTS - TARGETS);
 	csim_release(sim);
 }
 
