explain: name causes from lines about credits

A wait for a credit, a refusal with reason=no_room and a target that may be full had no cause in the output of explain, and a wait for a credit was reported as "no target could take it". Numbers of these lines now add causes: no credits held, and a grant of 1,000 ms or more, which is renewed every 500 ms.

t/test-logs.c has seven cases; six fail before, the seventh guards against causes from damaged numbers.

--- a/explain.c
+++ b/explain.c
@@ -339,13 +339,18 @@
 	{ "reset", "reason", "target_gone", "its target had left the list and did not answer" },
 	{ "reset", "reason", "target_reborn", "its target had restarted" },
 	{ "reset", "reason", "route_withdrawn", "the configuration dropped its route" },
+	{ "wait", "reason", "no_credit", "its opening waited for a credit" },
 	{ "wait", "", "", "its opening waited because no target could take it" },
 	{ "refuse", "reason", "no_route", "no route had its address" },
 	{ "refuse", "reason", "no_target", "no target could take it" },
+	{ "refuse", "reason", "no_room",
+	  "its instance would have had no credit of its service in time" },
 	{ "refuse", "reason", "overloaded", "its target would have answered too late" },
 	{ "refuse", "reason", "route_withdrawn", "the configuration dropped its route" },
 	{ "target", "belief", "dead", "a target of the flow was found dead" },
 	{ "target", "belief", "gone", "a target of the flow left the list" },
+	{ "target", "why", "may_be_full",
+	  "a target of the flow refused connections and may have been full" },
 	{ "stall", "", "", "its data got no answer" },
 	{ "adopt", "", "", "its packets reached another instance, or one that had restarted" },
 	{ "drop", "reason", "unknown_mark", "an instance did not know its target yet" },
@@ -357,6 +362,31 @@
 	  "an instance that handled it had started without the store" },
 };
 
+/* A grant of credits in force is renewed at least every 500 ms; two were lost before this age. */
+#define OLD_GRANT_MS 1000
+
+/* Causes by a number in a line. */
+static const struct {
+	const char *key;
+	int64_t min;
+	int64_t max;
+	const char *cause;
+} number_causes[] = {
+	{ "credits", 0, 0, "its instance held no credits of its service" },
+	{ "credit_age_ms", OLD_GRANT_MS, INT64_MAX, "its instance had an old grant of credits" },
+};
+
+static bool value_in_range(const struct log_line *line, const char *key, int64_t min, int64_t max)
+{
+	GString *val = get_value(line->fields->str, key);
+	char *end;
+	int64_t number = g_ascii_strtoll(val->str, &end, 10);
+	bool found = val->len && !*end && number >= min && number <= max;
+
+	g_string_free(val, TRUE);
+	return found;
+}
+
 static const char *find_cause(const struct log_line *line)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(causes); i++) {
@@ -375,31 +405,54 @@
 		set_has_value(sc->flows, line, "flow") ? '*' : ' ', line->fields->str);
 }
 
+/* Lines of the output, each cause once. */
+struct cause_list {
+	GHashTable *reported;
+	GString *text;
+};
+
+static void report_cause(struct cause_list *list, const struct scope *sc,
+			 const struct log_line *line, const char *cause)
+{
+	if (cause && g_hash_table_add(list->reported, (gpointer)cause))
+		g_string_append_printf(list->text, "- %s (%+.3f s, %s)\n", cause,
+				       (double)(line->corrected_ms - sc->from_ms) / MS_PER_S,
+				       line->instance->str);
+}
+
+static void report_causes(struct cause_list *list, const struct scope *sc,
+			  const struct log_line *line)
+{
+	report_cause(list, sc, line, find_cause(line));
+	for (size_t i = 0; i < G_N_ELEMENTS(number_causes); i++) {
+		if (value_in_range(line, number_causes[i].key, number_causes[i].min,
+				   number_causes[i].max))
+			report_cause(list, sc, line, number_causes[i].cause);
+	}
+}
+
 static void write_scope(const struct explain *ex, const struct scope *sc, GString *out)
 {
-	GHashTable *reported = g_hash_table_new(g_str_hash, g_str_equal);
-	GString *found = g_string_new(NULL);
+	struct cause_list found = {
+		.reported = g_hash_table_new(g_str_hash, g_str_equal),
+		.text = g_string_new(NULL),
+	};
 
 	if (!sc->all_instances)
 		g_string_append(out, "times count from the flow's first line; "
 				     "\"*\" marks its own lines\n");
 	for (guint i = 0; i < ex->lines->len; i++) {
 		const struct log_line *line = line_at(ex, i);
-		const char *cause;
 
 		if (!set_has_value(sc->flows, line, "flow") && !is_relevant(sc, line))
 			continue;
 		write_line(sc, line, out);
-		cause = find_cause(line);
-		if (cause && g_hash_table_add(reported, (gpointer)cause))
-			g_string_append_printf(found, "- %s (%+.3f s, %s)\n", cause,
-					       (double)(line->corrected_ms - sc->from_ms) /
-						       MS_PER_S,
-					       line->instance->str);
+		report_causes(&found, sc, line);
 	}
-	g_string_append_printf(out, "causes found:\n%s", found->len ? found->str : "- none\n");
-	g_string_free(found, TRUE);
-	g_hash_table_unref(reported);
+	g_string_append_printf(out, "causes found:\n%s",
+			       found.text->len ? found.text->str : "- none\n");
+	g_string_free(found.text, TRUE);
+	g_hash_table_unref(found.reported);
 }
 
 bool explain_write(struct explain *ex, const struct explain_query *q, GString *out)
--- a/t/test-logs.c
+++ b/t/test-logs.c
@@ -72,9 +72,17 @@
 	const char *flow;
 	const char *at;
 	const char *expected[4]; /* in this order in the output; empty when nothing is found */
+	const char *unexpected;	 /* not in the output; NULL for no check */
 	const char *expected_errors;
 };
 
+#define CREDIT_WAIT "reason=no_credit limit_ms=250 predicted_ms=90 waiting=3\n"
+#define CREDIT_OPEN "target=i-1 why=credit held=4 in_use=3 credit_age_ms=180\n"
+#define CREDIT_REFUSE(credits, age_ms)                                                             \
+	"reason=no_room waiting=37 predicted_ms=420 limit_ms=250 credits=" credits                 \
+	" in_use=8 credit_age_ms=" age_ms "\n"
+#define MAY_BE_FULL "target target=i-1 belief=suspected why=may_be_full\n"
+
 static const struct explain_case cases[] = {
 	{ .name = "target-crashed",
 	  .logs = { AT("01.000", "a") "open " FLOW "target=i-1 why=first\n" AT(
@@ -151,6 +159,46 @@
 	  .flow = "100.64.0.7:40001",
 	  .at = "2026-01-01T00:00:24.000Z",
 	  .expected = { "event=open", "state=resumed", "had not run for a while" } },
+	{ .name = "waited-for-a-credit",
+	  .logs = { AT("01.000", "a") "wait " FLOW CREDIT_WAIT AT("01.120",
+								  "a") "open " FLOW CREDIT_OPEN,
+		    "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "reason=no_credit", "why=credit",
+			"causes found:", "its opening waited for a credit" },
+	  .unexpected = "old grant" },
+	{ .name = "refused-for-lack-of-credits",
+	  .logs = { AT("01.000", "a") "refuse " FLOW CREDIT_REFUSE("8", "130"), "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "reason=no_room", "would have had no credit of its service in time" },
+	  .unexpected = "held no credits" },
+	{ .name = "refused-by-an-instance-without-credits",
+	  .logs = { AT("01.000", "a") "refuse " FLOW CREDIT_REFUSE("0", "130"), "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "reason=no_room", "held no credits of its service" },
+	  .unexpected = "old grant" },
+	{ .name = "refused-by-an-old-grant",
+	  .logs = { AT("01.000", "a") "refuse " FLOW CREDIT_REFUSE("8", "1240"), "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "reason=no_room", "had an old grant of credits" } },
+	{ .name = "placed-by-an-old-grant",
+	  .logs = { AT("01.000", "a") "open " FLOW
+				      "target=i-1 why=credit held=4 in_use=3 credit_age_ms=1400\n",
+		    "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "why=credit", "had an old grant of credits" } },
+	/* A full target refuses connections like an ended process; its flow must not seem lost. */
+	{ .name = "target-may-be-full",
+	  .logs = { AT("01.000", "a") "open " FLOW CREDIT_OPEN AT("01.300", "a") MAY_BE_FULL, "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "why=may_be_full", "refused connections and may have been full" },
+	  .unexpected = "found dead" },
+	/* Damaged numbers name no cause. */
+	{ .name = "damaged-credits",
+	  .logs = { AT("01.000", "a") "refuse " FLOW CREDIT_REFUSE("0x", "12a0"), "" },
+	  .flow = "100.64.0.7:40001",
+	  .expected = { "reason=no_room" },
+	  .unexpected = "held no credits" },
 	{ .name = "unknown-request",
 	  .logs = { AT("01.000", "a") "open " FLOW "target=i-1\n", "" },
 	  .request = "r9" },
@@ -185,6 +233,8 @@
 			at = strstr(at, c->expected[i]);
 			g_assert_nonnull(at);
 		}
+		if (c->unexpected)
+			g_assert_null(strstr(out->str, c->unexpected));
 		g_string_free(out, TRUE);
 		g_string_free(errors, TRUE);
 		explain_free(ex);
