--- a/decision.c
+++ b/decision.c
@@ -11,10 +11,11 @@
 #define LOG_LINES_PER_S 20
 
 static const char *const kind_names[DECISION_KINDS] = {
-	[DECISION_OPEN] = "open",   [DECISION_ACCEPT] = "accept",   [DECISION_REFUSE] = "refuse",
-	[DECISION_ADOPT] = "adopt", [DECISION_STALL] = "stall",	    [DECISION_RESET] = "reset",
-	[DECISION_DROP] = "drop",   [DECISION_TARGET] = "target",   [DECISION_CONFIG] = "config",
-	[DECISION_STORE] = "store", [DECISION_PROCESS] = "process", [DECISION_WAIT] = "wait",
+	[DECISION_OPEN] = "open",     [DECISION_ACCEPT] = "accept",   [DECISION_REFUSE] = "refuse",
+	[DECISION_ADOPT] = "adopt",   [DECISION_STALL] = "stall",     [DECISION_RESET] = "reset",
+	[DECISION_DROP] = "drop",     [DECISION_TARGET] = "target",   [DECISION_CONFIG] = "config",
+	[DECISION_STORE] = "store",   [DECISION_PROCESS] = "process", [DECISION_WAIT] = "wait",
+	[DECISION_CREDIT] = "credit",
 };
 
 struct line_budget {
@@ -35,7 +36,7 @@
 		decisions.budgets[i] = (struct line_budget){ .tokens = LOG_BURST_LINES * 1000 };
 }
 
-static bool take_token(struct line_budget *budget, struct timespec now)
+static void fill_budget(struct line_budget *budget, struct timespec now)
 {
 	int64_t passed = ts_diff_ms(now, budget->filled);
 
@@ -44,12 +45,27 @@
 		budget->tokens = MIN(budget->tokens + passed * LOG_LINES_PER_S,
 				     (int64_t)LOG_BURST_LINES * 1000);
 	}
+}
+
+static bool take_token(struct line_budget *budget, struct timespec now)
+{
+	fill_budget(budget, now);
 	if (budget->tokens < 1000)
 		return false;
 	budget->tokens -= 1000;
 	return true;
 }
 
+bool decision_is_logged(enum decision_kind kind, struct timespec now)
+{
+	struct line_budget *budget = &decisions.budgets[kind];
+
+	if (!decisions.counters)
+		return false;
+	fill_budget(budget, now);
+	return budget->tokens >= 1000;
+}
+
 void decision_log(enum decision_kind kind, struct timespec now, const char *format, ...)
 {
 	struct line_budget *budget = &decisions.budgets[kind];
--- a/decision.h
+++ b/decision.h
@@ -24,12 +24,15 @@
 	DECISION_CONFIG,  /* a configuration or withdrawal was applied */
 	DECISION_STORE,	  /* the store became unreachable or reachable, or an entry is malformed */
 	DECISION_PROCESS, /* start, stop, reload */
+	DECISION_CREDIT,  /* credits: a service takes part, a target is left out, lending */
 	DECISION_KINDS,
 };
 
 /* Sets the counters of lines written, suppressed and lost. Nothing is logged without them. */
 void decision_init(struct edge_counters *counters);
 
+/* Whether decision_log() would write a line, for figures that are costly to find. */
+bool decision_is_logged(enum decision_kind kind, struct timespec now);
 /* Writes a line unless the rate limit of the kind is exceeded at @now. */
 void decision_log(enum decision_kind kind, struct timespec now, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
