credit: lend by equal ratios of demand and capacity, queue by goal

Data centres lent only what lay under 85% of their slots, so those at 90% lent nothing while others refused 15 to 20% of their openings. Instances held two credits each, of which round trips took 40%, and slots stood idle. The time of handshakes counted as time at the target, so that demand seemed to exceed the room. Change: a borrower states its demand and capacity, and the lender lends until both ratios are equal, with places in queues beside slots, up by steps and down at once. Queues of targets hold what waits for at most a quarter of the goal. Time on the way is not counted as busy.

--- a/credit/account.c
+++ b/credit/account.c
@@ -214,7 +214,7 @@
 	struct target_credit *tc = &tgt->credit;
 
 	if (tc->in_use && ts_cmp(now, tc->changed) > 0)
-		tc->busy_ms += (uint64_t)ts_diff_ms(now, tc->changed) * tc->in_use;
+		tc->busy_ms += ts_diff_ms(now, tc->changed) * tc->in_use;
 	tc->changed = now;
 }
 
@@ -254,7 +254,7 @@
 }
 
 void credit_return(struct credit_account *acc, struct reg_target *tgt, enum credit_outcome outcome,
-		   int64_t held_ms, struct timespec now)
+		   int64_t held_ms, int64_t path_ms, struct timespec now)
 {
 	struct service_account *svc = get_service(acc, tgt->service);
 	struct target_credit *tc = &tgt->credit;
@@ -263,6 +263,7 @@
 	settle(tgt, now);
 	observe(acc, tgt);
 	tc->in_use--;
+	tc->busy_ms -= CLAMP(path_ms, 0, held_ms);
 	switch (outcome) {
 	case CREDIT_ANSWERED:
 		tc->completed++;
@@ -413,11 +414,11 @@
 		.rejected = tc->rejected,
 		.failed = tc->failed,
 		.overdue = tc->overdue,
-		.busy_ms = (uint32_t)MIN(tc->busy_ms, UINT32_MAX),
+		.busy_ms = (uint32_t)CLAMP(tc->busy_ms, 0, UINT32_MAX),
 		.dead = tgt->trust == TRUST_DEAD && tgt->phase != TARGET_GONE,
 	};
 	tc->completed = tc->rejected = tc->failed = tc->overdue = 0;
-	tc->busy_ms = 0;
+	tc->busy_ms = MIN(tc->busy_ms, 0);
 	if (obs.completed || obs.rejected || obs.failed || obs.overdue || obs.busy_ms || obs.dead)
 		g_array_append_val(rep->observations, obs);
 	tc->observed = tc->in_use || obs.dead;
--- a/credit/account.h
+++ b/credit/account.h
@@ -36,9 +36,12 @@
 				 const struct placing *pl, const struct placing_request *req,
 				 bool *usable);
 void credit_take(struct credit_account *acc, struct reg_target *tgt, struct timespec now);
-/* @held_ms: since the credit was taken. */
+/*
+ * @held_ms: since the credit was taken. @path_ms: the part of it that packets were on their way or
+ * the caller had not sent its request, so that the target was not busy.
+ */
 void credit_return(struct credit_account *acc, struct reg_target *tgt, enum credit_outcome outcome,
-		   int64_t held_ms, struct timespec now);
+		   int64_t held_ms, int64_t path_ms, struct timespec now);
 
 void credit_note_opening(struct credit_account *acc, uint32_t service, uint32_t priority);
 /* A flow of the service carries a second request. */
--- a/credit/allocator-internal.h
+++ b/credit/allocator-internal.h
@@ -16,7 +16,10 @@
 	uint32_t round; /* the last one that listed it */
 	int64_t joined_ms;
 	bool borrower;
-	double wanted; /* of a borrower */
+	double wanted;	 /* of a borrower */
+	double demand;	 /* of a borrower, less what others lend */
+	double capacity; /* of a borrower's own targets */
+	double lent;	 /* to a borrower */
 	double demand_high;
 	double demand_low;
 	double weight;
@@ -43,6 +46,7 @@
 	uint32_t capacity_permille;
 	bool cold_limited;
 	bool lent;
+	uint32_t queue;		/* of a lent target */
 	double load;		/* expected in this round, for each slot and by speed */
 	double excess;		/* decayed sum of the load beyond the mean of the targets */
 	GArray *credits[KINDS]; /* struct credit */
@@ -68,6 +72,8 @@
 	int64_t now_ms;
 	double mean_credit; /* of the kind that is being divided */
 	int64_t shortage_milli;
+	int64_t demand_milli;
+	int64_t capacity_milli;
 	double spare;	  /* slots that neither members nor borrowers need */
 	double left_free; /* of them, given to nobody in the last round */
 };
--- a/credit/allocator.c
+++ b/credit/allocator.c
@@ -22,6 +22,7 @@
 /* A member that has just joined does not wait for its deficit to grow. */
 #define JOIN_MS	       2000
 #define QUEUE_PER_SLOT 3
+#define GOAL_DIVISOR   4
 #define MEMBER_CREDITS 2
 #define SLOTS_MAX      1024
 #define SPEED_MIN      250
@@ -127,6 +128,8 @@
 		holder->round = al->round;
 		holder->borrower = mem->borrower;
 		holder->wanted = mem->borrower ? mem->wanted_milli : 0;
+		holder->demand = mem->borrower ? mem->demand_milli : 0;
+		holder->capacity = mem->borrower ? mem->capacity_milli : 0;
 		holder->demand_high = demand_of(mem, 0, 2, round->service_time_us);
 		holder->demand_low = demand_of(mem, 2, CREDIT_PRIORITIES, round->service_time_us);
 		g_array_set_size(holder->entries, 0);
@@ -154,6 +157,7 @@
 		pool->capacity_permille = MIN(tgt->capacity_permille, 1000);
 		pool->cold_limited = tgt->cold_limited;
 		pool->lent = tgt->lent;
+		pool->queue = MIN(tgt->queue, SLOTS_MAX);
 		g_ptr_array_add(al->targets, pool);
 	}
 }
@@ -173,7 +177,8 @@
 /* Whether a member may hold credits of this kind at this target at all. */
 static bool may_hold(const struct holder *holder, const struct pool *pool, enum credit_kind kind)
 {
-	return !holder->borrower || (kind == KIND_SLOT && !pool->lent && !pool->cold_limited);
+	(void)kind;
+	return !holder->borrower || (!pool->lent && !pool->cold_limited);
 }
 
 static void drop_absent(struct allocator *al)
@@ -221,6 +226,22 @@
 	return CLAMP(most > slots ? most - slots : 0, slots, slots * QUEUE_PER_SLOT);
 }
 
+/*
+ * Queue credits that keep a request in the queue for at most a quarter of the goal. They let an
+ * instance whose demand exceeds its part for a moment use what others leave.
+ */
+static uint32_t queue_by_goal(const struct pool *pool, const struct alloc_round *round)
+{
+	uint64_t time_us = (uint64_t)round->service_time_us * 1000 / pool->speed_permille;
+	uint64_t room_us = (uint64_t)round->goal_ms * 1000 / GOAL_DIVISOR;
+	uint64_t nr;
+
+	if (!time_us || pool->cold_limited || pool->lent)
+		return 0;
+	nr = MIN(pool->slots * room_us / time_us, (uint64_t)pool->slots * QUEUE_PER_SLOT);
+	return (uint32_t)(nr * pool->capacity_permille / 1000);
+}
+
 /*
  * A target's part of the queue credits is in proportion to its speed: a place in the queue of a
  * slow target costs its request more time.
@@ -229,7 +250,9 @@
 {
 	double nr = pool->slots * pool->speed_permille * per_unit;
 
-	if (pool->cold_limited || pool->lent)
+	if (pool->lent)
+		return pool->queue;
+	if (pool->cold_limited)
 		return 0;
 	nr = CLAMP(nr, 1, (double)pool->slots * QUEUE_PER_SLOT);
 	return (uint32_t)(round(nr) * pool->capacity_permille / 1000);
@@ -239,7 +262,7 @@
  * Queue credits grow by one a target and round: when half of the targets die, the others would get
  * twice as many at the moment at which all members send them the requests of the dead ones.
  */
-static void resize_targets(struct allocator *al)
+static void resize_targets(struct allocator *al, const struct alloc_round *round)
 {
 	uint64_t slots = 0;
 	double units = 0;
@@ -257,7 +280,9 @@
 
 		resize_credits(pool, KIND_SLOT, slot_credits(pool));
 		queue = queue_credits(pool, per_unit);
-		resize_credits(pool, KIND_QUEUE, MIN(queue, pool->credits[KIND_QUEUE]->len + 1));
+		queue = MAX(queue, queue_by_goal(pool, round));
+		resize_credits(pool, KIND_QUEUE,
+			       pool->lent ? queue : MIN(queue, pool->credits[KIND_QUEUE]->len + 1));
 	}
 }
 
@@ -287,7 +312,7 @@
 	double mean = al->mean_credit;
 
 	if (holder->borrower)
-		return held > MIN(share + credit / 2, holder->wanted);
+		return held > share + credit / 2;
 	return held - credit / 2 > ceil(share / mean - CREDIT_SLACK) * mean;
 }
 
@@ -590,7 +615,7 @@
 	list_members(al, round);
 	list_targets(al, round);
 	drop_absent(al);
-	resize_targets(al);
+	resize_targets(al, round);
 	allocator_set_shares(al, round);
 	for (enum credit_kind kind = 0; kind < KINDS; kind++)
 		divide(al, kind);
@@ -605,6 +630,16 @@
 	return holder && holder->entries->len ? holder->entries : NULL;
 }
 
+int64_t allocator_demand_milli(const struct allocator *al)
+{
+	return al->demand_milli;
+}
+
+int64_t allocator_capacity_milli(const struct allocator *al)
+{
+	return al->capacity_milli;
+}
+
 int64_t allocator_shortage_milli(const struct allocator *al)
 {
 	return al->shortage_milli;
--- a/credit/exchange-internal.h
+++ b/credit/exchange-internal.h
@@ -37,6 +37,7 @@
 	GHashTable *left_out;	/* identifiers of targets that are left out in part */
 	uint32_t slots;		/* of its own targets in the latest round */
 	int64_t shortage_milli; /* average */
+	int64_t demand_milli;	/* average over about 1 s */
 	bool borrows;
 };
 
@@ -53,6 +54,8 @@
 	uint64_t rate_milli[EXCHANGE_MAX_SERVICES][CREDIT_PRIORITIES];
 	bool rated; /* rate_milli has a first value */
 	uint32_t wanted_milli[EXCHANGE_MAX_SERVICES];
+	uint32_t demand_milli[EXCHANGE_MAX_SERVICES];
+	uint32_t capacity_milli[EXCHANGE_MAX_SERVICES];
 	uint64_t grant_hash; /* of the latest grant, without its sequence number */
 	struct timespec grant_sent;
 	struct timespec credits_sent; /* latest grant with credits */
@@ -72,8 +75,8 @@
 	struct timespec granted;
 	GArray *lent; /* struct ex_lent */
 	uint32_t asked_milli[EXCHANGE_MAX_SERVICES];
-	struct timespec asked_changed; /* latest change of a request */
-	struct timespec asked;	       /* latest request; 0 while nothing is borrowed */
+	uint32_t demand_milli[EXCHANGE_MAX_SERVICES]; /* that others do not serve */
+	struct timespec asked; /* latest request; 0 while nothing is borrowed */
 	bool listed;
 };
 
@@ -107,8 +110,9 @@
 };
 
 /* Bits of the values of exchange.stated. */
-#define STATED_GOAL 1u
-#define STATED_COLD 2u /* a rate for cold targets */
+#define STATED_GOAL	  1u
+#define STATED_COLD	  2u /* a rate for cold targets */
+#define STATED_GOAL_SHIFT 2
 
 static inline struct control_state *ex_state(const struct exchange *ex)
 {
--- a/credit/exchange-lend.c
+++ b/credit/exchange-lend.c
@@ -1,6 +1,5 @@
 #include "credit/exchange-internal.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "decision.h"
@@ -15,11 +14,7 @@
 #define BEGIN_DIVISOR 10
 #define END_DIVISOR   20
 #define SLOT_MILLI    1000
-/* A request is kept until what is missing differs from it by this much. */
-#define REQUEST_STEP_MILLI 750
-#define ASK_MAX_SLOTS	   16384
-/* A request is answered with the lender's next round, at most two intervals later. */
-#define ANSWER_MS 1000
+#define ASK_MAX_MILLI (16384 * SLOT_MILLI)
 /* Encoded size of a request, and of each service in it in addition to its name, rounded up. */
 #define REQUEST_BYTES 320
 #define WANTED_BYTES  36
@@ -122,7 +117,6 @@
 		};
 
 		lent.entry.lent = true;
-		lent.entry.queue = 0;
 		if (lent.entry.slots)
 			g_array_append_val(lender->lent, lent);
 	}
@@ -202,6 +196,7 @@
 		.speed_permille = lent->entry.speed_permille,
 		.capacity_permille = 1000,
 		.lent = true,
+		.queue = lent->entry.queue,
 	};
 	struct target_condition cond;
 
@@ -239,9 +234,12 @@
 	int64_t slots_milli = (int64_t)svc->slots * SLOT_MILLI;
 	bool borrows = svc->takes_part;
 
-	if (svc->takes_part)
+	if (svc->takes_part) {
 		svc->shortage_milli = ex_average(
 			svc->shortage_milli, allocator_shortage_milli(svc->allocator), passed_ms);
+		svc->demand_milli = ex_average(svc->demand_milli,
+					       allocator_demand_milli(svc->allocator), passed_ms);
+	}
 	borrows &= svc->shortage_milli > slots_milli / (svc->borrows ? END_DIVISOR : BEGIN_DIVISOR);
 	if (borrows != svc->borrows)
 		decision_log(DECISION_CREDIT, now,
@@ -266,59 +264,25 @@
 	return sum;
 }
 
-/*
- * Sets what a lender is asked for, given what is missing. Requests are for half a slot more than
- * whole ones, and change only with the shortage: the lender moves whole credits, and a request near
- * the sum of their speeds would have it give and take one in turn.
- */
-static void set_request(struct ex_lender *lender, size_t place, int64_t missing,
-			struct timespec now)
-{
-	int64_t asked = lender->asked_milli[place];
-	int64_t slots = CLAMP((missing + SLOT_MILLI / 2) / SLOT_MILLI, 1, ASK_MAX_SLOTS);
-
-	if (asked && llabs(missing - (asked - SLOT_MILLI / 2)) < REQUEST_STEP_MILLI)
-		return;
-	lender->asked_milli[place] = (uint32_t)(slots * SLOT_MILLI + SLOT_MILLI / 2);
-	lender->asked_changed = now;
-}
-
-/* What a lender contributes, while a changed request is not yet answered what it was asked for. */
-static int64_t contribution(const struct ex_lender *lender, size_t place, uint32_t service,
-			    struct timespec now)
-{
-	int64_t lent = lent_milli(lender, service, now);
-	int64_t asked = lender->asked_milli[place];
-
-	if (ts_diff_ms(now, lender->asked_changed) >= ANSWER_MS)
-		return lent;
-	return MAX(lent, asked - SLOT_MILLI / 2);
-}
-
-/*
- * Asks the first lender for the whole shortage, and each further one for what those before it do
- * not lend. A request does not depend on what the same lender has lent, so that there is no loop
- * to swing; the shortage does not depend on lent slots either. Borrowers begin with different
- * lenders.
- */
+/* Each lender is told the demand that the others do not serve; it decides what it can lend. */
 static void share_shortage(struct exchange *ex, size_t place, struct timespec now)
 {
 	const struct ex_service *svc = &ex->services[place];
-	int64_t missing = svc->shortage_milli;
-	guint nr = ex->lenders->len;
-	bool first = true;
+	int64_t lent = 0;
 
-	for (guint i = 0; i < nr; i++) {
-		struct ex_lender *lender = g_ptr_array_index(ex->lenders, (ex->opts.self + i) % nr);
-		int64_t least = lender->asked_milli[place] ? -SLOT_MILLI / 2 : SLOT_MILLI / 2;
+	for (guint i = 0; i < ex->lenders->len; i++)
+		lent += lent_milli(g_ptr_array_index(ex->lenders, i), svc->service, now);
+	for (guint i = 0; i < ex->lenders->len; i++) {
+		struct ex_lender *lender = g_ptr_array_index(ex->lenders, i);
+		int64_t others = lent - lent_milli(lender, svc->service, now);
 
-		if (!svc->borrows || !is_usable(ex, lender) || (!first && missing < least)) {
-			lender->asked_milli[place] = 0;
+		lender->asked_milli[place] = 0;
+		if (!svc->borrows || !is_usable(ex, lender))
 			continue;
-		}
-		set_request(lender, place, missing, now);
-		missing -= contribution(lender, place, svc->service, now);
-		first = false;
+		lender->asked_milli[place] =
+			(uint32_t)CLAMP(svc->shortage_milli, SLOT_MILLI, ASK_MAX_MILLI);
+		lender->demand_milli[place] =
+			(uint32_t)CLAMP(svc->demand_milli - others, 0, ASK_MAX_MILLI);
 	}
 }
 
@@ -337,7 +301,10 @@
 			continue;
 		room -= bytes;
 		demands[nr].service = (char *)name;
-		demands[nr++].wanted_milli = lender->asked_milli[i];
+		demands[nr].wanted_milli = lender->asked_milli[i];
+		demands[nr].demand_milli = lender->demand_milli[i];
+		demands[nr++].capacity_milli = (uint32_t)CLAMP(
+			allocator_capacity_milli(ex->services[i].allocator), 0, ASK_MAX_MILLI);
 	}
 	if (!nr) {
 		/* What is lent returns to the lender, which notices the end of the requests. */
--- a/credit/exchange-member.c
+++ b/credit/exchange-member.c
@@ -59,8 +59,12 @@
 
 	for (size_t i = 0; rule->admission.goal_ms && i < rule->nr_services; i++) {
 		gpointer key = GUINT_TO_POINTER(rule->services[i].service);
-		guint bits = GPOINTER_TO_UINT(g_hash_table_lookup(stated, key)) | STATED_GOAL;
+		guint bits = GPOINTER_TO_UINT(g_hash_table_lookup(stated, key));
+		guint goal_ms = MIN(rule->admission.goal_ms, G_MAXUINT >> STATED_GOAL_SHIFT);
 
+		if (bits)
+			goal_ms = MIN(goal_ms, bits >> STATED_GOAL_SHIFT);
+		bits = (bits & STATED_COLD) | STATED_GOAL | goal_ms << STATED_GOAL_SHIFT;
 		if (rule->services[i].cold_rate_limited)
 			bits |= STATED_COLD;
 		g_hash_table_insert(stated, key, GUINT_TO_POINTER(bits));
@@ -194,7 +198,11 @@
 	if (!ex_report_valid(msg) || wants_credits(msg) != borrower)
 		return false;
 	for (u_int i = 0; i < msg->demands.demands_len; i++) {
-		if (msg->demands.demands_val[i].wanted_milli > WANTED_MAX_MILLI)
+		const peer_credit_demand *demand = &msg->demands.demands_val[i];
+
+		if (demand->wanted_milli > WANTED_MAX_MILLI ||
+		    demand->demand_milli > WANTED_MAX_MILLI ||
+		    demand->capacity_milli > WANTED_MAX_MILLI)
 			return false;
 	}
 	return !borrower || *msg->data_centre;
@@ -247,6 +255,8 @@
 
 	if (member->borrower) {
 		member->wanted_milli[svc - ex->services] = from->wanted_milli;
+		member->demand_milli[svc - ex->services] = from->demand_milli;
+		member->capacity_milli[svc - ex->services] = from->capacity_milli;
 		return;
 	}
 	for (size_t i = 0; i < CREDIT_PRIORITIES; i++)
--- a/credit/exchange-reader.c
+++ b/credit/exchange-reader.c
@@ -100,6 +100,8 @@
 			.id = member->id,
 			.borrower = member->borrower,
 			.wanted_milli = member->wanted_milli[place],
+			.demand_milli = member->demand_milli[place],
+			.capacity_milli = member->capacity_milli[place],
 		};
 
 		if (member->borrower && !am.wanted_milli)
@@ -130,6 +132,7 @@
 	ex_add_lent(ex, svc->service, now, targets);
 	round.targets = (const struct alloc_target *)(void *)targets->data;
 	round.nr_targets = targets->len;
+	round.goal_ms = ex_stated(ex, svc->service) >> STATED_GOAL_SHIFT;
 	round.service_time_us = monitor_service_time_us(ex->monitor, svc->service);
 	allocator_run(svc->allocator, &round);
 	g_ptr_array_unref(listed);
--- a/credit/shares.c
+++ b/credit/shares.c
@@ -5,8 +5,11 @@
 #define IDLE_FLOOR 0.03
 /* Lower priorities are not starved when the important ones need all slots. */
 #define LOWER_SHARE_MIN 0.05
-/* Slots in use beyond this share make openings wait; only what is below it can be lent. */
+/* Slots in use beyond this share make openings wait: the rest is missing. */
 #define USABLE_SHARE 0.85
+/* Data centres whose ratios of demand to capacity differ by less do not lend to one another. */
+#define LEND_RATIO 1.1
+#define LEND_STEP  0.25
 /* Sums of the excess load of targets cover about 12 s, at four rounds a second. */
 #define EXCESS_DECAY 0.98
 
@@ -55,21 +58,70 @@
 	}
 }
 
-/* Divides what the members leave in proportion to what the borrowers want. */
-static double share_surplus(struct allocator *al, double surplus)
+/*
+ * Several lenders answer the same request, so each approaches its part by steps. What its own
+ * members need is taken back at once.
+ */
+static double next_lent(const struct holder *holder, double part)
 {
+	return part < holder->lent ? part : holder->lent + (part - holder->lent) * LEND_STEP;
+}
+
+/*
+ * Lends to borrowers so that demand and capacity come to the same ratio here and there, as far as
+ * theirs is clearly higher. Returns the slots that are lent.
+ */
+static double share_with_borrowers(struct allocator *al, double demand, double capacity)
+{
+	double sum_demand = demand;
+	double sum_capacity = capacity;
 	double wanted = 0;
-	double sum = 0;
+	double lent = 0;
+	double part = 0;
+	double level;
+
+	for (size_t i = 0; i < al->borrowers->len; i++) {
+		struct holder *holder = al->borrowers->pdata[i];
 
-	for (size_t i = 0; i < al->borrowers->len; i++)
-		wanted += ((struct holder *)al->borrowers->pdata[i])->wanted;
-	if (surplus <= 0 || wanted <= 0)
+		if (holder->demand * capacity <= demand * holder->capacity * LEND_RATIO)
+			holder->wanted = 0;
+		if (holder->wanted <= 0)
+			continue;
+		sum_demand += holder->demand;
+		sum_capacity += holder->capacity;
+	}
+	if (sum_capacity <= 0 || capacity <= 0)
 		return 0;
+	level = sum_demand / sum_capacity;
 	for (size_t i = 0; i < al->borrowers->len; i++) {
 		struct holder *holder = al->borrowers->pdata[i];
 
-		holder->share[KIND_SLOT] = holder->wanted * MIN(surplus / wanted, 1);
-		sum += holder->share[KIND_SLOT];
+		holder->wanted =
+			MIN(holder->wanted, MAX(holder->demand - level * holder->capacity, 0));
+		wanted += holder->wanted;
+	}
+	/* Above a level of 1, both serve the same part of their demand. */
+	if (wanted > 0)
+		part = CLAMP((level * capacity - demand) / wanted, 0, 1) / MAX(level, 1);
+	for (size_t i = 0; i < al->borrowers->len; i++) {
+		struct holder *holder = al->borrowers->pdata[i];
+		holder->lent = next_lent(holder, holder->wanted * part);
+		holder->share[KIND_SLOT] = holder->lent;
+		lent += holder->lent;
+	}
+	return lent;
+}
+
+/* Queue credits of borrowers, in proportion to their slots. */
+static double share_queue(struct allocator *al, double slots, double queue)
+{
+	double sum = 0;
+
+	for (size_t i = 0; slots > 0 && i < al->borrowers->len; i++) {
+		struct holder *holder = al->borrowers->pdata[i];
+
+		holder->share[KIND_QUEUE] = holder->share[KIND_SLOT] * queue / slots;
+		sum += holder->share[KIND_QUEUE];
 	}
 	return sum;
 }
@@ -89,13 +141,16 @@
 	sum_demand(al, &high, &low);
 	al->shortage_milli = 0;
 	al->spare = 0;
+	al->demand_milli = (int64_t)(high + low);
+	al->capacity_milli = (int64_t)(own / USABLE_SHARE);
 	/* Demand is unknown while the service time is: nothing is lent or borrowed. */
 	if (round->service_time_us || high + low <= 0) {
 		al->shortage_milli = (int64_t)(high + low - own);
 		share = lower_share(total[KIND_SLOT], high, low);
 		al->spare = own - high - low;
-		lent = share_surplus(al, al->spare);
+		lent = share_with_borrowers(al, high + low, own / USABLE_SHARE);
 		al->spare -= lent;
+		total[KIND_QUEUE] -= share_queue(al, own / USABLE_SHARE, total[KIND_QUEUE]);
 		/* What is left free is missing from all shares alike. */
 		total[KIND_SLOT] -= lent + MIN(al->left_free, MAX(al->spare, 0));
 	}
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -89,11 +89,18 @@
 	restart_clock(sc, fc, now);
 }
 
+/* What is not the time of the request at the target: the handshake, and its way and back. */
+static int64_t path_ms(const struct flow_credit *fc)
+{
+	return fc->requests ? ts_diff_ms(fc->since, fc->taken) + fc->accept_ms : 0;
+}
+
 static void uncharge(struct steer_credit *sc, struct flow_credit *fc, enum credit_outcome outcome,
 		     struct timespec now)
 {
 	dequeue_charged(sc, fc);
-	credit_return(sc->account, fc->charged, outcome, ts_diff_ms(now, fc->taken), now);
+	credit_return(sc->account, fc->charged, outcome, ts_diff_ms(now, fc->taken), path_ms(fc),
+		      now);
 	fc->charged = NULL;
 	sc->pass_due = backlog_count(sc->backlog) > 0;
 }
@@ -119,12 +126,13 @@
 }
 
 void steer_credit_accepted(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
-			   struct timespec now)
+			   struct timespec sent, struct timespec now)
 {
 	struct flow_credit *fc = flow->credit;
 
 	if (!fc->charged)
 		return;
+	fc->accept_ms = ts_diff_ms(now, sent);
 	if (fc->charged != tgt) {
 		uncharge(st->credit, fc, CREDIT_MOVED, now);
 		charge(st->credit, fc, tgt, now);
--- a/credit/steer-credit.h
+++ b/credit/steer-credit.h
@@ -19,6 +19,7 @@
 	struct timespec since;	    /* when the opening, or else the request, was sent */
 	GQueue *queue;		    /* of struct steer_credit.charged; NULL when not queued */
 	GList link;		    /* in *queue */
+	int64_t accept_ms;	    /* from the opening to its acceptance; a round trip */
 	uint8_t requests;	    /* seen on the flow; further ones than 2 are not counted */
 	bool overdue;		    /* noted */
 	bool lapsed;		    /* the credit was returned because no request came */
@@ -37,7 +38,7 @@
 
 /* The functions below need flow->credit. */
 void steer_credit_accepted(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
-			   struct timespec now);
+			   struct timespec sent, struct timespec now);
 /* The caller has begun to send a request. */
 void steer_credit_request(struct steer *st, struct steer_flow *flow, struct timespec now);
 /* The answer to a request has begun; one that is @short_answer may be a rejection. */
--- a/credit/target-credit.h
+++ b/credit/target-credit.h
@@ -18,7 +18,7 @@
 	uint32_t rejected;
 	uint32_t failed;
 	uint32_t overdue;
-	uint64_t busy_ms;
+	int64_t busy_ms; /* may be negative: what was reported too much */
 };
 
 #endif
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -381,6 +381,8 @@
 	u_int reused;
 	u_int waiting;
 	u_int wanted_milli;
+	u_int demand_milli;
+	u_int capacity_milli;
 };
 typedef struct peer_credit_demand peer_credit_demand;
 #define PEER_CREDIT_DEAD 1
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -344,7 +344,10 @@
 	unsigned int openings[PEER_CREDIT_PRIORITIES];
 	unsigned int reused;  /* second requests on a flow */
 	unsigned int waiting; /* openings that wait for a credit */
-	unsigned int wanted_milli; /* by a reader of another data centre: thousandths of a slot */
+	/* Of a reader of another data centre, in thousandths of a slot; 0 of a follower. */
+	unsigned int wanted_milli;
+	unsigned int demand_milli;   /* less what other data centres lend */
+	unsigned int capacity_milli; /* of its own targets */
 };
 
 const PEER_CREDIT_DEAD = 1; /* flag: the sender has found the target dead */
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -864,7 +864,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_peer_name (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, (3 +  PEER_CREDIT_PRIORITIES )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (5 +  PEER_CREDIT_PRIORITIES )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_vector (xdrs, (char *)objp->openings, PEER_CREDIT_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -875,6 +875,10 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wanted_milli))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->demand_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+				 return FALSE;
 		} else {
 			{
 				register u_int *genp;
@@ -887,12 +891,14 @@
 			IXDR_PUT_U_LONG(buf, objp->reused);
 			IXDR_PUT_U_LONG(buf, objp->waiting);
 			IXDR_PUT_U_LONG(buf, objp->wanted_milli);
+			IXDR_PUT_U_LONG(buf, objp->demand_milli);
+			IXDR_PUT_U_LONG(buf, objp->capacity_milli);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_peer_name (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, (3 +  PEER_CREDIT_PRIORITIES )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (5 +  PEER_CREDIT_PRIORITIES )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_vector (xdrs, (char *)objp->openings, PEER_CREDIT_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -903,6 +909,10 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wanted_milli))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->demand_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+				 return FALSE;
 		} else {
 			{
 				register u_int *genp;
@@ -915,6 +925,8 @@
 			objp->reused = IXDR_GET_U_LONG(buf);
 			objp->waiting = IXDR_GET_U_LONG(buf);
 			objp->wanted_milli = IXDR_GET_U_LONG(buf);
+			objp->demand_milli = IXDR_GET_U_LONG(buf);
+			objp->capacity_milli = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -930,6 +942,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wanted_milli))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->demand_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/steer.c
+++ b/steer.c
@@ -279,7 +279,7 @@
 	steer_flow_drop_opening(st, flow);
 	steer_flow_set_target(flow, tgt);
 	if (flow->credit)
-		steer_credit_accepted(st, flow, tgt, now);
+		steer_credit_accepted(st, flow, tgt, sent, now);
 	steer_flow_set_state(st, flow, FLOW_OPEN);
 	suspicion_note_answer(st, tgt, now);
 }
--- a/t/credit-sim.h
+++ b/t/credit-sim.h
@@ -391,7 +391,7 @@
 		if (req->done_ms > sim->now_ms || req->target->dead || node->paused)
 			continue;
 		credit_return(node->cs.credit, registry_by_id(node->cs.registry, req->target->id),
-			      CREDIT_ANSWERED, sim->now_ms - req->taken_ms, csim_now(sim));
+			      CREDIT_ANSWERED, sim->now_ms - req->taken_ms, 0, csim_now(sim));
 		g_array_remove_index_fast(sim->requests, i);
 	}
 }
--- a/t/creditsim.h
+++ b/t/creditsim.h
@@ -453,6 +453,7 @@
 	}
 	round.nr_targets = sim_list_targets(sim, targets);
 	round.service_time_us = monitor_service_time_us(sim->mon, SIM_SERVICE);
+	round.goal_ms = SIM_GOAL_MS;
 	round.now = sim_now(sim);
 	allocator_run(sim->al, &round);
 	for (uint32_t i = 0; i < sim->nr_instances; i++) {
--- a/t/test-allocator.c
+++ b/t/test-allocator.c
@@ -362,19 +362,30 @@
 	}
 }
 
-/* Lends only what the members leave, never more than is wanted. */
+/*
+ * Lends so that demand and capacity come to the same ratio in both data centres: guards against one
+ * that refuses openings beside one with room, and against lending to one that is no worse off.
+ */
 static void test_borrowers(void)
 {
 	const struct {
-		double demand;		/* in slots, of 40 */
-		uint32_t wanted[2];	/* in thousandths */
+		double demand; /* in slots, of 40 */
+		struct {
+			uint32_t wanted, demand, capacity; /* in thousandths */
+		} borrowers[2];
 		uint32_t credits[2];	/* lent */
 		int64_t shortage_milli; /* with 40 slots, of which 34 count */
 	} cases[] = {
-		{ 30, { 1000, 0 }, { 1, 0 }, -4000 },	 { 30, { 8000, 8000 }, { 2, 2 }, -4000 },
-		{ 30, { 9000, 3000 }, { 3, 1 }, -4000 }, { 10, { 3900, 5100 }, { 3, 5 }, -24000 },
-		{ 10, { 900, 0 }, { 0, 0 }, -24000 },	 { 34, { 8000, 8000 }, { 0, 0 }, 0 },
-		{ 50, { 8000, 8000 }, { 0, 0 }, 16000 },
+		{ 30, { { 20000, 51000, 40000 } }, { 10 }, -4000 },
+		{ 10, { { 20000, 30000, 20000 }, { 20000, 30000, 20000 } }, { 12, 12 }, -24000 },
+		{ 10, { { 3900, 50000, 40000 } }, { 3 }, -24000 },
+		{ 10, { { 900, 50000, 40000 } }, { 0 }, -24000 },
+		/* No clear difference, and a lender with the higher ratio. */
+		{ 30, { { 20000, 32000, 40000 } }, { 0 }, -4000 },
+		{ 50, { { 20000, 40000, 40000 } }, { 0 }, 16000 },
+		/* Both are short: each serves the same part of its demand. */
+		{ 50, { { 90000, 152000, 40000 } }, { 20 }, 16000 },
+		{ 50, { { 90000, 152000, 40000 }, { 9000, 10000, 40000 } }, { 20, 0 }, 16000 },
 	};
 
 	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
@@ -387,32 +398,68 @@
 			fx.members[m].openings_milli_per_s[1] = demand_milli(cases[c].demand / 4);
 		for (size_t b = 0; b < 2; b++) {
 			fx.members[4 + b].borrower = true;
-			fx.members[4 + b].wanted_milli = cases[c].wanted[b];
+			fx.members[4 + b].wanted_milli = cases[c].borrowers[b].wanted;
+			fx.members[4 + b].demand_milli = cases[c].borrowers[b].demand;
+			fx.members[4 + b].capacity_milli = cases[c].borrowers[b].capacity;
 		}
-		for (int r = 0; r < 40; r++) {
+		for (int r = 0; r < 60; r++) {
 			run_round(&fx);
 			g_assert_cmpint(allocator_shortage_milli(fx.al), ==,
 					cases[c].shortage_milli);
 			for (uint32_t b = 0; b < 2; b++) {
 				struct held held = sum_held(&fx, 5 + b);
 
-				g_assert_cmpuint(held.slots * 1000, <=, cases[c].wanted[b]);
-				g_assert_cmpuint(held.queue, ==, 0);
+				g_assert_cmpuint(held.slots * 1000, <=,
+						 cases[c].borrowers[b].wanted);
 				g_assert_null(find_entry(&fx, 5 + b, fx.targets[20].key));
-				/* After the first tenures, that much is really lent. */
-				if (r >= 8)
+				/* Lent in steps and by tenures. */
+				if (r >= 30)
 					g_assert_cmpuint(held.slots, ==, cases[c].credits[b]);
+				/* Places in queues come with slots. */
+				if (r >= 30 && cases[c].credits[b] >= 2)
+					g_assert_cmpuint(held.queue, >, 0);
 			}
 		}
 		/* Own demand takes back what is lent within one round. */
 		for (size_t m = 0; m < 4; m++)
-			fx.members[m].openings_milli_per_s[1] = demand_milli(20);
+			fx.members[m].openings_milli_per_s[1] = demand_milli(100);
 		run_round(&fx);
 		g_assert_cmpuint(sum_held(&fx, 5).slots + sum_held(&fx, 6).slots, ==, 0);
 		fixture_release(&fx);
 	}
 }
 
+/*
+ * The queue of a target holds at most a quarter of the goal: guards against idle slots while
+ * instances without a free credit refuse openings, and against requests that are late in queues.
+ */
+static void test_queue_by_goal(void)
+{
+	const struct {
+		uint32_t goal_ms, service_time_ms, speed_permille;
+		uint32_t queue; /* of 2 slots */
+	} cases[] = {
+		{ 300, 22, 1000, 6 }, { 300, 37, 1000, 4 }, { 500, 50, 1000, 5 },
+		{ 500, 50, 2000, 6 }, { 500, 50, 500, 2 },  { 500, 500, 1000, 2 },
+		{ 0, 50, 1000, 2 },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		struct fixture fx;
+
+		fixture_init(&fx, 10, 5);
+		fx.round.goal_ms = cases[c].goal_ms;
+		fx.round.service_time_us = cases[c].service_time_ms * 1000;
+		fx.targets[3].speed_permille = cases[c].speed_permille;
+		for (size_t m = 0; m < 5; m++)
+			fx.members[m].openings_milli_per_s[1] = demand_milli(1);
+		for (int r = 0; r < 20; r++)
+			run_round(&fx);
+		g_assert_cmpuint(sum_target(&fx, fx.targets[3].key).queue, ==, cases[c].queue);
+		fixture_release(&fx);
+	}
+}
+
 /* While the service time is unknown, credits follow openings, and nothing is lent. */
 static void test_unknown_service_time(void)
 {
@@ -637,6 +684,7 @@
 	g_test_add_func("/allocator/queue-credits", test_queue_credits);
 	g_test_add_func("/allocator/targets", test_targets);
 	g_test_add_func("/allocator/borrowers", test_borrowers);
+	g_test_add_func("/allocator/queue-by-goal", test_queue_by_goal);
 	g_test_add_func("/allocator/unknown-service-time", test_unknown_service_time);
 	g_test_add_func("/allocator/come-and-go", test_come_and_go);
 	g_test_add_func("/allocator/large", test_large);
--- a/t/test-credit.c
+++ b/t/test-credit.c
@@ -236,7 +236,7 @@
 
 		nr_a += tgt == a;
 		credit_take(fix.acc, tgt, fix.now);
-		credit_return(fix.acc, tgt, CREDIT_ANSWERED, 10, fix.now);
+		credit_return(fix.acc, tgt, CREDIT_ANSWERED, 10, 0, fix.now);
 	}
 	g_assert_cmpuint(nr_a, >=, 98);
 	g_assert_cmpuint(nr_a, <=, 102);
@@ -262,7 +262,7 @@
 	for (uint64_t i = 0; i < 100; i++) {
 		g_assert_true(choose(&fix, i, NULL, &usable) == b);
 		credit_take(fix.acc, b, fix.now);
-		credit_return(fix.acc, b, CREDIT_ANSWERED, 10, fix.now);
+		credit_return(fix.acc, b, CREDIT_ANSWERED, 10, 0, fix.now);
 	}
 	a->trust = TRUST_ALIVE;
 	for (uint64_t i = 0; i < 20; i++) {
@@ -380,7 +380,7 @@
 	for (int i = 0; i < 2; i++) {
 		g_assert_null(choose(&fix, 0, NULL, &usable));
 		g_assert_true(usable);
-		credit_return(fix.acc, a, CREDIT_ANSWERED, 10, fix.now);
+		credit_return(fix.acc, a, CREDIT_ANSWERED, 10, 0, fix.now);
 	}
 	g_assert_true(choose(&fix, 0, NULL, &usable) == a);
 	tear_down(&fix);
@@ -433,7 +433,7 @@
 	credit_take(fix.acc, a, fix.now);
 	credit_note_overdue(fix.acc, a);
 	fix.now = ts_add_ms(fix.now, 100);
-	credit_return(fix.acc, a, CREDIT_ANSWERED, 100, fix.now);
+	credit_return(fix.acc, a, CREDIT_ANSWERED, 100, 0, fix.now);
 	fix.now = ts_add_ms(fix.now, 50);
 	rep = collect(&fix);
 	g_assert_cmpuint(rep.demands->len, ==, 1);
@@ -453,7 +453,7 @@
 
 	credit_set_waiting(fix.acc, WEB, 0);
 	fix.now = ts_add_ms(fix.now, 20);
-	credit_return(fix.acc, a, CREDIT_FAILED, 170, fix.now);
+	credit_return(fix.acc, a, CREDIT_FAILED, 170, 0, fix.now);
 	fix.now = ts_add_ms(fix.now, 30);
 	rep = collect(&fix);
 	g_assert_cmpuint(rep.interval_ms, ==, 50);
@@ -512,7 +512,7 @@
 	a = put_target(&fix, "a", HOME, 0, false);
 	grant(&fix, entries, 1);
 	credit_take(fix.acc, a, fix.now);
-	credit_return(fix.acc, a, CREDIT_REJECTED, 5, fix.now);
+	credit_return(fix.acc, a, CREDIT_REJECTED, 5, 0, fix.now);
 	registry_remove(fix.reg, "a", 0, fix.now);
 	fix.now = ts_add_ms(fix.now, 60000);
 	registry_sweep(fix.reg, fix.now, 60000);
@@ -537,7 +537,7 @@
 	g_assert_cmpint(credit_overdue_ms(fix.acc, WEB), ==, 200);
 	for (int i = 0; i < 10; i++) {
 		credit_take(fix.acc, a, fix.now);
-		credit_return(fix.acc, a, CREDIT_ANSWERED, 50, fix.now);
+		credit_return(fix.acc, a, CREDIT_ANSWERED, 50, 0, fix.now);
 		fix.now = ts_add_ms(fix.now, 100);
 	}
 	g_assert_cmpint(credit_overdue_ms(fix.acc, WEB), ==, 400);
@@ -546,7 +546,7 @@
 	g_assert_cmpuint(status.returned_per_s, <=, 10);
 	/* A credit that is moved is not free for a waiting opening. */
 	credit_take(fix.acc, a, fix.now);
-	credit_return(fix.acc, a, CREDIT_MOVED, 0, fix.now);
+	credit_return(fix.acc, a, CREDIT_MOVED, 0, 0, fix.now);
 	fix.now = ts_add_ms(fix.now, 2000);
 	credit_status(fix.acc, WEB, fix.now, &status);
 	g_assert_cmpuint(status.returned_per_s, ==, 1);
--- a/t/test-relay-credit.c
+++ b/t/test-relay-credit.c
@@ -303,7 +303,7 @@
 		if (!sim->in_progress[i].tgt || sim->in_progress[i].done_ms > sim->now_ms)
 			continue;
 		credit_return(sim->in_progress[i].node->cs.credit, sim->in_progress[i].tgt,
-			      CREDIT_ANSWERED, 50, sim_now(sim));
+			      CREDIT_ANSWERED, 50, 0, sim_now(sim));
 		sim->in_progress[i].tgt = NULL;
 	}
 }
