credit: eject hanging targets earlier, and end participation at lower bounds

A service near 20 openings in 2 s began and ended to take part every few seconds. Change: two failures within about a second; participation ends below 5 openings in 2 s, or above a fifth of reused flows. The cases of /monitor/ejection follow the new rule: they eject earlier in each case, and one failure, or 2 in 12, still eject nothing.

--- a/credit/exchange-member.c
+++ b/credit/exchange-member.c
@@ -6,8 +6,10 @@
 
 /* A service takes part from this many openings in the window of 2 s on. */
 #define TAKE_PART_OPENINGS 20
+#define END_OPENINGS	   5
 /* At most one in this many openings may be used for a second request. */
-#define REUSE_DIVISOR 10
+#define REUSE_DIVISOR	  10
+#define REUSE_DIVISOR_END 5
 /* A service without openings for this long gives up its place. */
 #define SERVICE_IDLE_MS 10000
 /*
@@ -391,6 +393,10 @@
 		openings += svc->openings[i];
 		reused += svc->reused[i];
 	}
+	/* It ends at other bounds than it begins, so that chance does not switch it on and off. */
+	if (svc->takes_part)
+		return reused * REUSE_DIVISOR_END <= openings &&
+		       (openings >= END_OPENINGS || is_wanted(ex, (size_t)(svc - ex->services)));
 	return reused * REUSE_DIVISOR <= openings &&
 	       (openings >= TAKE_PART_OPENINGS || is_wanted(ex, (size_t)(svc - ex->services)));
 }
--- a/credit/monitor.c
+++ b/credit/monitor.c
@@ -19,8 +19,8 @@
 #define RATE_SPREAD 4
 /* A target with fewer completions does not count in the mean of its service. */
 #define RATE_COMPLETIONS 3
-/* Fewer failures than this are isolated. */
-#define BAD_MIN	       3
+/* Two failures within about a second; one is isolated. */
+#define BAD_MIN	       1.5
 #define BAD_SHARE_MIN  0.2
 #define BAD_TIMES_MEAN 3
 /* One slot credit and no queue credits, also of a target with 16 slots. */
--- a/t/test-monitor.c
+++ b/t/test-monitor.c
@@ -190,10 +190,10 @@
 	} cases[] = {
 		/* Isolated failures, and few among many. */
 		{ { .completed = 10, .failed = 1 }, 1, 1000 },
-		{ { .failed = 1 }, 2, 1000 },
-		{ { .failed = 2 }, 1, 1000 },
+		{ { .failed = 1 }, 1, 1000 },
 		{ { .completed = 10, .failed = 2 }, 20, 1000 },
 		/* Halved each interval, down to a trial. */
+		{ { .failed = 2 }, 1, 500 },
 		{ { .failed = 3 }, 1, 500 },
 		{ { .failed = 3 }, 2, 250 },
 		{ { .failed = 3 }, 3, 125 },
@@ -203,9 +203,10 @@
 		{ { .completed = 3, .overdue = 3 }, 4, 62 },
 		{ { .completed = 2, .overdue = 1, .failed = 1 }, 6, 62 },
 		{ { .completed = 4, .rejected = 4 }, 1, 500 },
-		/* One failure an interval is not isolated after a second. */
-		{ { .completed = 1, .failed = 1 }, 3, 1000 },
-		{ { .completed = 1, .failed = 1 }, 4, 500 },
+		/* The second failure within a second is not isolated. */
+		{ { .completed = 1, .failed = 1 }, 1, 1000 },
+		{ { .completed = 1, .failed = 1 }, 2, 500 },
+		{ { .completed = 1, .failed = 1 }, 3, 250 },
 	};
 
 	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
