account: begin the turn of a newly held target after half a use

Cause: credits change their holders about once a second, and a target that comes back to a member went by the virtual time of its last use, so that each new holder used it at once. Change: it begins half a use after the latest choice, as the simulation of the allocator does.

--- a/credit/account.c
+++ b/credit/account.c
@@ -51,6 +51,7 @@
 	struct edge_counters *counters;
 	GHashTable *services; /* symbol to struct service_account */
 	GArray *observed;     /* digests of targets with something to report */
+	uint32_t nr_grants;   /* applied so far */
 	struct timespec collected;
 	bool urgent;
 };
@@ -330,6 +331,21 @@
 	return NULL;
 }
 
+/*
+ * A target that the previous grant did not hold comes after half a use. If it went by the time of
+ * its last use, the members that are given its credits in turn would each use it at once.
+ */
+static void begin_turn(const struct credit_account *acc, const struct service_account *svc,
+		       struct reg_target *tgt)
+{
+	struct target_credit *tc = &tgt->credit;
+	uint64_t use = VIRTUAL_USE / (tc->speed_permille ?: SPEED_MEAN);
+
+	if (tc->grant + 1 != acc->nr_grants)
+		tc->virtual_time = MAX(tc->virtual_time, svc->virtual_time + use / 2);
+	tc->grant = acc->nr_grants;
+}
+
 /* A target that is gone is as good as unknown; it may be freed before the grant ends. */
 static void add_entry(struct credit_account *acc, struct service_account *svc,
 		      const struct credit_entry *entry)
@@ -349,6 +365,7 @@
 		struct held_credit new = { tgt, entry->slots, entry->queue, entry->lent };
 
 		g_array_append_val(svc->held, new);
+		begin_turn(acc, svc, tgt);
 	}
 }
 
@@ -356,6 +373,7 @@
 			struct timespec now)
 {
 	credit_drop_grants(acc);
+	acc->nr_grants++;
 	for (guint i = 0; i < grant->services->len; i++) {
 		const struct credit_service_grant *part =
 			&g_array_index(grant->services, struct credit_service_grant, i);
--- a/credit/target-credit.h
+++ b/credit/target-credit.h
@@ -9,6 +9,7 @@
 struct target_credit {
 	uint32_t in_use;	 /* requests and openings of this instance in progress */
 	uint64_t virtual_time;	 /* of the weighted round robin; rises with each use */
+	uint32_t grant;		 /* number of the latest grant with credits of it */
 	uint16_t speed_permille; /* of the latest grant; 0 if unknown */
 	bool observed;		 /* in the account's list of targets to report */
 	struct timespec changed; /* busy_ms is complete up to then */
