suspicion: keep a refusing target that has just answered

A rejection also grew too old while the target was suspected. Change: a listed target that refuses is not dead within 500 ms of its last answer to a flow here, and rejections count from the start of the suspicion. An ended process is detected at most 0.25 s later than before, when it has just answered.

--- a/suspicion.c
+++ b/suspicion.c
@@ -19,13 +19,18 @@
 #define PROBE_ROUND_INTERVAL_MS 100
 /*
  * A target whose queue is full refuses connections like one whose process has ended. After a
- * rejection by any target of its service in the last REJECTION_EFFECT_MS, a target that refuses is
- * therefore dead only when it has answered no flow here for REFUSED_SILENT_MS: a full target
- * answers after the wait in its queue and the longest request, some 1.6 s. It gets no openings
- * meanwhile.
+ * rejection by any target of its service in the REJECTION_EFFECT_MS before its suspicion, a target
+ * that refuses is therefore dead only when it has answered no flow here for REFUSED_SILENT_MS: a
+ * full target answers after the wait in its queue and the longest request, some 1.6 s. It gets no
+ * openings meanwhile.
  */
 #define REJECTION_EFFECT_MS 2000
 #define REFUSED_SILENT_MS   2000
+/*
+ * Nor is a listed target dead that refuses connections but has answered a flow here this recently:
+ * an instance may be the first to meet a full one, and has seen no rejection.
+ */
+#define REFUSED_ANSWER_MS 500
 /* Interval of probes of such a target: each connection costs it processor time. */
 #define REFUSED_PROBE_INTERVAL_MS 250
 /* Minimum time between two verifications of all other targets. */
@@ -215,7 +220,10 @@
 		g_hash_table_lookup(st->latest_rejections, GUINT_TO_POINTER(tgt->service));
 	int64_t silent_ms = target_silent_ms(tgt, now);
 
-	if (!rejection || ts_diff_ms(now, *rejection) >= REJECTION_EFFECT_MS)
+	if (tgt->phase != TARGET_GONE && tgt->last_answer.tv_sec &&
+	    ts_diff_ms(now, tgt->last_answer) < REFUSED_ANSWER_MS)
+		return true;
+	if (!rejection || ts_diff_ms(tgt->suspected, *rejection) >= REJECTION_EFFECT_MS)
 		return false;
 	/* Without a sign of life here, the silence is counted from the suspicion. */
 	if (silent_ms < 0)
--- a/t/test-steer.c
+++ b/t/test-steer.c
@@ -671,6 +671,20 @@
 	  "probe i-a refused\n"
 	  "wait 100 => probe i-a\n"
 	  "probe i-a refused => reset c1\n" },
+	/* Guards against resetting the flows of a full target that no instance has seen rejecting.
+	 */
+	{ "dead/refuses-but-has-just-answered",
+	  "target i-a web home\nconfig 1 443=web:1\n"
+	  "pkt c1 443 mark=i-a len=50 => forward i-a\n"
+	  "wait 50\n"
+	  "pkt c1 443 mark=i-a seq=151 ack=2501 len=50 => forward i-a\n"
+	  "wait 200\n"
+	  "pkt c1 443 mark=i-a seq=151 ack=2501 len=50 => probe i-a, forward i-a\n"
+	  "probe i-a refused\n"
+	  "wait 100 => probe i-a\n"
+	  "probe i-a refused\n"
+	  "wait 250 => probe i-a\n"
+	  "probe i-a refused => reset c1\n" },
 	/* Guards against keeping the flows of an ended process for as long as others reject. */
 	{ "dead/refuses-and-stays-silent", REJECTION_THEN_STALL
 	  "probe i-a refused\nwait 100 => probe i-a\nprobe i-a refused\n"
