account: use no credit of a target that has changed its service

A grant names targets, and credit_choose() checked everything about them but their service. After a target had been listed again under another service, openings went to it for up to the life of a grant (1,500 ms), and a target of the wrong service answered them. Such targets are skipped.

The new script sent its opening to the target of the other service before.

--- a/credit/account.c
+++ b/credit/account.c
@@ -190,7 +190,8 @@
 			.start = start_time(svc, held->tgt),
 		};
 
-		if (cand.tier > TIER_COLD)
+		/* A target may change its service during the life of a grant. */
+		if (cand.tier > TIER_COLD || held->tgt->service != service)
 			continue;
 		*usable = true;
 		if (cand.class != CLASS_NONE && is_better(&cand, &best))
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -562,6 +562,9 @@
 	  ONE_TARGET "grant other\nopen c1 443 => c1>i-a\nopen c2 443 => c2>i-a\n" },
 	{ "grant/not-used-for-a-suspected-target", TWO_TARGETS
 	  "grant web i-a=2+0\ntrust i-a suspected\nopen c1 443 => c1>i-b\nin_use i-b 1\n" },
+	/* An opening must not reach a target that has changed its service since the grant. */
+	{ "grant/not-used-for-a-target-of-another-service", TWO_TARGETS
+	  "grant web i-a=2+0\ntarget i-a other\nopen c1 443 => c1>i-b\nin_use i-a 0\n" },
 	/* Routes without a goal are refused no more than without credits. */
 	{ "grant/route-without-goal", ONE_TARGET
 	  "grant web i-a=1+0\nopen c1 8080 => c1>i-a\nopen c2 8080 => c2>i-a\nin_use i-a 2\n"
