steer-credit: place waiting openings first when a grant has expired

An opening that arrived between the expiry of a grant and the next pass (up to 20 ms) went to the existing placement at once, and so overtook the openings that waited, also more important ones. They are now placed before it, as while the grant is in force.

In the new script, c3 overtook c2 before.

--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -538,11 +538,12 @@
 
 	if (active || cls->goal_ms)
 		credit_note_opening(sc->account, service, cls->priority);
-	/* Those that wait for a usable target come first. */
+	/* Also after the end of the grant, those that wait come first. */
+	if (backlog_count(sc->backlog))
+		place_service(st, service, now);
+	/* So do those that wait for a usable target. */
 	if (!active || steer_wait_has_queue(st, pkt->service))
 		return false;
-	if (nr_waiting(sc, service))
-		place_service(st, service, now);
 	if (!has_queue(sc, service, cls->priority)) {
 		tgt = choose(st, service, rule, digest, &usable, now);
 		if (tgt) {
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -621,6 +621,10 @@
 				"drop => c2>i-a, c3>i-a\nin_use i-a 3\n" },
 	{ "wait/grants-expire", ONE_TARGET ONE_ANSWER
 	  "grant web i-a=1+0\nwait 1450\nopen c1 80 => c1>i-a\nopen c2 80\nwait 80 => c2>i-a\n" },
+	/* Nor is it overtaken by a less important one between the expiry and the next pass. */
+	{ "wait/not-overtaken-when-grants-expire", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nwait 1495\nopen c1 80 => c1>i-a\nopen c2 80\nwait 6\n"
+	  "open c3 443 => c2>i-a, c3>i-a\n" },
 	/* Without a usable target when the grants end, it waits in the other queue. */
 	{ "wait/end-of-grants-without-target",
 	  ONE_TARGET ONE_ANSWER "grant web i-a=1+0\nopen c1 80 => c1>i-a\nopen c2 80\n"
