steer-credit: return the credit of a request after its route's time-out

A caller that leaves without a packet, or whose last packet is lost, kept a credit in use until its flow expired (idle_timeout_ms). Requests that hang so used up the credits of an instance. After the time-out of the route, counted from the request, the caller has left: the credit is returned then, as that of a failed request.

--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -13,7 +13,8 @@
 	struct credit_account *account;
 	struct backlog *backlog;
 	GHashTable *charged; /* symbol of a service to GQueue of struct steer_flow, by .since */
-	uint32_t nr_queued;  /* in all queues of charged */
+	GQueue overdue;	     /* struct steer_flow whose credit returns at .return_at, unordered */
+	uint32_t nr_queued;  /* in overdue and all queues of charged */
 	bool pass_due;	     /* a credit was returned while openings wait */
 	struct timespec next_pass;
 	struct timespec next_sweep;
@@ -32,6 +33,7 @@
 	st->credit = g_new0(struct steer_credit, 1);
 	st->credit->account = st->opts.credit;
 	st->credit->backlog = backlog_new();
+	g_queue_init(&st->credit->overdue);
 	st->credit->charged = g_hash_table_new_full(NULL, NULL, NULL, free_queue);
 }
 
@@ -80,6 +82,16 @@
 	sc->nr_queued++;
 }
 
+/* Returns the credit at @when, unless the request is answered or the flow ends before. */
+static void limit_charge(struct steer_credit *sc, struct flow_credit *fc, struct timespec when)
+{
+	dequeue_charged(sc, fc);
+	fc->return_at = when;
+	fc->queue = &sc->overdue;
+	g_queue_push_tail_link(&sc->overdue, &fc->link);
+	sc->nr_queued++;
+}
+
 static void charge(struct steer_credit *sc, struct flow_credit *fc, struct reg_target *tgt,
 		   struct timespec now)
 {
@@ -182,8 +194,10 @@
 		uncharge(st->credit, fc, CREDIT_MOVED, now);
 }
 
-static void note_overdue(struct steer_credit *sc, struct steer_flow *flow, struct timespec now)
+static void note_overdue(struct steer *st, struct steer_flow *flow, struct timespec now)
 {
+	const struct route_rule *rule = routing_find(st->opts.routing, flow->addr.service);
+	struct steer_credit *sc = st->credit;
 	struct flow_credit *fc = flow->credit;
 
 	dequeue_charged(sc, fc);
@@ -191,14 +205,33 @@
 		/* Callers that send no request must not hold credits that others could use. */
 		fc->lapsed = true;
 		uncharge(sc, fc, CREDIT_MOVED, now);
-	} else if (!fc->overdue) {
+		return;
+	}
+	if (!fc->overdue) {
 		fc->overdue = true;
 		credit_note_overdue(sc->account, fc->charged);
 	}
+	/* By then the caller has left, perhaps without a packet. */
+	if (rule && rule->admission.timeout_ms)
+		limit_charge(sc, fc, ts_add_ms(fc->since, rule->admission.timeout_ms));
+}
+
+static void sweep_overdue(struct steer_credit *sc, struct timespec now)
+{
+	GList *next;
+
+	for (GList *link = sc->overdue.head; link; link = next) {
+		struct steer_flow *flow = link->data;
+
+		next = link->next;
+		if (ts_cmp(now, flow->credit->return_at) >= 0)
+			uncharge(sc, flow->credit, CREDIT_FAILED, now);
+	}
 }
 
-static void sweep_charged(struct steer_credit *sc, struct timespec now)
+static void sweep_charged(struct steer *st, struct timespec now)
 {
+	struct steer_credit *sc = st->credit;
 	GHashTableIter iter;
 	gpointer service;
 	gpointer queue;
@@ -210,8 +243,9 @@
 
 		while ((flow = g_queue_peek_head(queue)) &&
 		       ts_diff_ms(now, flow->credit->since) >= limit_ms)
-			note_overdue(sc, flow, now);
+			note_overdue(st, flow, now);
 	}
+	sweep_overdue(sc, now);
 }
 
 /* Placing and waiting. */
@@ -566,7 +600,7 @@
 
 	if (sc->nr_queued && ts_cmp(now, sc->next_sweep) >= 0) {
 		sc->next_sweep = ts_add_ms(now, OVERDUE_INTERVAL_MS);
-		sweep_charged(sc, now);
+		sweep_charged(st, now);
 	}
 	if (backlog_count(sc->backlog) && ts_cmp(now, sc->next_pass) >= 0) {
 		sc->next_pass = ts_add_ms(now, PASS_INTERVAL_MS);
--- a/credit/steer-credit.h
+++ b/credit/steer-credit.h
@@ -17,7 +17,8 @@
 	struct reg_target *charged; /* whose credit the flow holds; NULL for none */
 	struct timespec taken;	    /* when the credit was taken */
 	struct timespec since;	    /* when the opening, or else the request, was sent */
-	GQueue *queue;		    /* of struct steer_credit.charged; NULL when not queued */
+	struct timespec return_at;  /* when the credit of an overdue request is returned */
+	GQueue *queue;		    /* of struct steer_credit; NULL when not queued */
 	GList link;		    /* in *queue */
 	int64_t accept_ms;	    /* from the opening to its acceptance; a round trip */
 	uint8_t requests;	    /* seen on the flow; further ones than 2 are not counted */
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -680,6 +680,14 @@
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nwait 400\nseen i-a overdue 1\n"
 	  "in_use i-a 1\nwait 400\nseen i-a overdue 1\nclose c1\nin_use i-a 0\nseen i-a failed "
 	  "1\n" },
+	/*
+	 * The caller has left without a packet by its time-out, 1,500 ms. Its credit must not be
+	 * lost until the flow expires.
+	 */
+	{ "charge/caller-left", ONE_TARGET
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nwait 1490\nin_use i-a 1\nwait 120\n"
+	  "in_use i-a 0\nseen i-a overdue 1\nseen i-a failed 1\nanswer c1\nclose c1\n"
+	  "seen i-a failed 1\nseen i-a completed 0\n" },
 	{ "charge/answered-when-overdue",
 	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nwait 400\nanswer c1\n"
 		     "seen i-a overdue 1\nseen i-a completed 1\nseen i-a failed 0\n" },
