steer-credit: keep the credit of a half-closed request until its answer

A caller that sends its FIN with its request, or soon after, returned its credit at once, as if it had given up. The target then got more requests than it has credits, and neither completions nor response times were recorded of such callers. The credit now stays in use until the answer or a reset, at most until twice the mean response time has passed since the request: a FIN does not tell whether the caller still awaits the answer. Without a mean, before the first answer, it is returned at once as before.

In the new scripts the credit was free right after the FIN before.

--- a/credit/account.c
+++ b/credit/account.c
@@ -301,6 +301,13 @@
 	acc->counters->requests_overdue++;
 }
 
+int64_t credit_mean_ms(const struct credit_account *acc, uint32_t service)
+{
+	const struct service_account *svc = find_service(acc, service);
+
+	return svc ? svc->mean_us / USEC_PER_MSEC : 0;
+}
+
 int64_t credit_overdue_ms(const struct credit_account *acc, uint32_t service)
 {
 	const struct service_account *svc = find_service(acc, service);
--- a/credit/account.h
+++ b/credit/account.h
@@ -48,6 +48,8 @@
 void credit_note_reuse(struct credit_account *acc, uint32_t service);
 /* A request has had no answer for credit_overdue_ms(); to be called once a request. */
 void credit_note_overdue(struct credit_account *acc, struct reg_target *tgt);
+/* Mean response time; 0 before the first answer. */
+int64_t credit_mean_ms(const struct credit_account *acc, uint32_t service);
 int64_t credit_overdue_ms(const struct credit_account *acc, uint32_t service);
 /* Probes have found the target dead. */
 void credit_note_dead(struct credit_account *acc, struct reg_target *tgt);
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -7,14 +7,19 @@
 #define PASS_INTERVAL_MS 20
 /* Interval of the search for overdue requests, half of the time after which one is overdue. */
 #define OVERDUE_INTERVAL_MS 100
-#define FIGURES_LEN	    160
+/*
+ * The same packet ends a caller's requests and shows that a caller has given up. The target still
+ * works on the request in both cases; most requests take less than this many times the mean.
+ */
+#define HALF_CLOSED_MEANS 2
+#define FIGURES_LEN	  160
 
 struct steer_credit {
 	struct credit_account *account;
 	struct backlog *backlog;
 	GHashTable *charged; /* symbol of a service to GQueue of struct steer_flow, by .since */
-	GQueue overdue;	     /* struct steer_flow whose credit returns at .return_at, unordered */
-	uint32_t nr_queued;  /* in overdue and all queues of charged */
+	GQueue limited;	     /* struct steer_flow whose credit returns at .return_at, unordered */
+	uint32_t nr_queued;  /* in limited and all queues of charged */
 	bool pass_due;	     /* a credit was returned while openings wait */
 	struct timespec next_pass;
 	struct timespec next_sweep;
@@ -33,7 +38,7 @@
 	st->credit = g_new0(struct steer_credit, 1);
 	st->credit->account = st->opts.credit;
 	st->credit->backlog = backlog_new();
-	g_queue_init(&st->credit->overdue);
+	g_queue_init(&st->credit->limited);
 	st->credit->charged = g_hash_table_new_full(NULL, NULL, NULL, free_queue);
 }
 
@@ -87,8 +92,8 @@
 {
 	dequeue_charged(sc, fc);
 	fc->return_at = when;
-	fc->queue = &sc->overdue;
-	g_queue_push_tail_link(&sc->overdue, &fc->link);
+	fc->queue = &sc->limited;
+	g_queue_push_tail_link(&sc->limited, &fc->link);
 	sc->nr_queued++;
 }
 
@@ -194,6 +199,24 @@
 		uncharge(st->credit, fc, CREDIT_MOVED, now);
 }
 
+void steer_credit_half_closed(struct steer *st, struct steer_flow *flow, struct timespec now)
+{
+	struct steer_credit *sc = st->credit;
+	struct flow_credit *fc = flow->credit;
+	struct timespec end;
+
+	if (!fc->charged)
+		return;
+	end = ts_add_ms(fc->since,
+			HALF_CLOSED_MEANS * credit_mean_ms(sc->account, fc->charged->service));
+	if (!flow->busy || ts_cmp(now, end) >= 0) {
+		steer_credit_end(st, flow, false, now);
+		return;
+	}
+	fc->half_closed = true;
+	limit_charge(sc, fc, end);
+}
+
 static void note_overdue(struct steer *st, struct steer_flow *flow, struct timespec now)
 {
 	const struct route_rule *rule = routing_find(st->opts.routing, flow->addr.service);
@@ -216,16 +239,17 @@
 		limit_charge(sc, fc, ts_add_ms(fc->since, rule->admission.timeout_ms));
 }
 
-static void sweep_overdue(struct steer_credit *sc, struct timespec now)
+static void sweep_limited(struct steer_credit *sc, struct timespec now)
 {
 	GList *next;
 
-	for (GList *link = sc->overdue.head; link; link = next) {
+	for (GList *link = sc->limited.head; link; link = next) {
 		struct steer_flow *flow = link->data;
 
 		next = link->next;
 		if (ts_cmp(now, flow->credit->return_at) >= 0)
-			uncharge(sc, flow->credit, CREDIT_FAILED, now);
+			uncharge(sc, flow->credit,
+				 flow->credit->half_closed ? CREDIT_MOVED : CREDIT_FAILED, now);
 	}
 }
 
@@ -245,7 +269,7 @@
 		       ts_diff_ms(now, flow->credit->since) >= limit_ms)
 			note_overdue(st, flow, now);
 	}
-	sweep_overdue(sc, now);
+	sweep_limited(sc, now);
 }
 
 /* Placing and waiting. */
--- a/credit/steer-credit.h
+++ b/credit/steer-credit.h
@@ -17,12 +17,13 @@
 	struct reg_target *charged; /* whose credit the flow holds; NULL for none */
 	struct timespec taken;	    /* when the credit was taken */
 	struct timespec since;	    /* when the opening, or else the request, was sent */
-	struct timespec return_at;  /* when the credit of an overdue request is returned */
+	struct timespec return_at;  /* when the credit is returned at the latest, if in .limited */
 	GQueue *queue;		    /* of struct steer_credit; NULL when not queued */
 	GList link;		    /* in *queue */
 	int64_t accept_ms;	    /* from the opening to its acceptance; a round trip */
 	uint8_t requests;	    /* seen on the flow; further ones than 2 are not counted */
 	bool overdue;		    /* noted */
+	bool half_closed;	    /* by the caller, before the answer */
 	bool lapsed;		    /* the credit was returned because no request came */
 };
 
@@ -45,6 +46,11 @@
 /* The answer to a request has begun; one that is @short_answer may be a rejection. */
 void steer_credit_answered(struct steer *st, struct steer_flow *flow, bool short_answer,
 			   struct timespec now);
+/*
+ * The caller has sent all that it has to send; to be called before the flow's state changes. The
+ * credit of a request in progress stays in use for up to twice the mean response time.
+ */
+void steer_credit_half_closed(struct steer *st, struct steer_flow *flow, struct timespec now);
 /* The flow ends; to be called before its state changes. */
 void steer_credit_end(struct steer *st, struct steer_flow *flow, bool target_failed,
 		      struct timespec now);
--- a/steer.c
+++ b/steer.c
@@ -430,6 +430,25 @@
 	return true;
 }
 
+static void end_credit(struct steer *st, struct steer_flow *flow, const struct caller_packet *pkt,
+		       struct timespec now)
+{
+	if (pkt->rst)
+		steer_credit_end(st, flow, false, now);
+	else
+		steer_credit_half_closed(st, flow, now);
+}
+
+/* The credit of a request that was in progress when the caller closed its side of the flow. */
+static void track_half_closed(struct steer *st, struct steer_flow *flow,
+			      const struct caller_packet *pkt, struct timespec now)
+{
+	if (pkt->rst)
+		steer_credit_end(st, flow, false, now);
+	else if ((int32_t)(pkt->ack - flow->ack) > 0)
+		steer_credit_answered(st, flow, pkt->ack - flow->ack < SHORT_ANSWER_BYTES, now);
+}
+
 static void handle_packet(struct steer *st, struct steer_flow *flow,
 			  const struct caller_packet *pkt, struct timespec now)
 {
@@ -453,12 +472,14 @@
 	if (flow) {
 		if (flow->state == FLOW_OPEN)
 			track_progress(st, flow, pkt, now);
+		else if (flow->credit)
+			track_half_closed(st, flow, pkt, now);
 		if (flow->state == FLOW_OPEN && reset_dead(st, flow, pkt, now))
 			return;
 		if ((pkt->fin || pkt->rst) && flow->state == FLOW_OPEN) {
 			st->opts.counters->flows_closed++;
 			if (flow->credit)
-				steer_credit_end(st, flow, false, now);
+				end_credit(st, flow, pkt, now);
 			steer_flow_set_busy(flow, false);
 			steer_flow_set_state(st, flow, FLOW_CLOSED);
 		}
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -240,6 +240,15 @@
 	caller->target = NULL;
 }
 
+static void do_reset(struct fixture *fix, char **words)
+{
+	struct script_caller *caller = &fix->callers[caller_nr(words)];
+	struct caller_packet pkt = { .seq = caller->seq, .ack = caller->ack, .rst = true };
+
+	send_packet(fix, caller_nr(words), &pkt);
+	caller->target = NULL;
+}
+
 /* mark CALLER NAME: the target whose mark the caller's next packets echo */
 static void do_mark(struct fixture *fix, char **words)
 {
@@ -366,7 +375,7 @@
 	{ "gone", do_gone },	   { "wait", do_wait },		 { "stop", do_stop },
 	{ "in_use", do_in_use },   { "seen", do_seen },		 { "counts", do_counts },
 	{ "reused", do_reused },   { "untold-grant", do_grant }, { "mark", do_mark },
-	{ "waiting", do_waiting },
+	{ "waiting", do_waiting }, { "reset", do_reset },
 };
 
 static void run_command(struct fixture *fix, const char *command)
@@ -688,6 +697,17 @@
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nwait 1490\nin_use i-a 1\nwait 120\n"
 	  "in_use i-a 0\nseen i-a overdue 1\nseen i-a failed 1\nanswer c1\nclose c1\n"
 	  "seen i-a failed 1\nseen i-a completed 0\n" },
+	/* Half-closed by the caller: the target still works on the request. */
+	{ "charge/half-closed", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nclose c1\nopen c2 80\nwait 30\n"
+	  "in_use i-a 1\nmark c1 i-a\nanswer c1 => c2>i-a\nin_use i-a 1\nseen i-a completed 2\n" },
+	{ "charge/half-closed-and-reset", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nclose c1\nin_use i-a 1\nreset c1\n"
+	  "in_use i-a 0\nseen i-a failed 0\n" },
+	/* No packet shows when the caller has left: it waits for twice the mean of 50 ms. */
+	{ "charge/half-closed-and-left", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nwait 20\nclose c1\nwait 70\n"
+	  "in_use i-a 1\nwait 120\nin_use i-a 0\nseen i-a failed 0\nseen i-a overdue 0\n" },
 	{ "charge/answered-when-overdue",
 	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nwait 400\nanswer c1\n"
 		     "seen i-a overdue 1\nseen i-a completed 1\nseen i-a failed 0\n" },
