backlog: displace no opening for a caller that has its share

When the backlog was full and the caller of a new opening had its share, an opening of lower priority was refused to make room, and then the new one as well. backlog_has_share() tells so before.

--- a/credit/backlog.c
+++ b/credit/backlog.c
@@ -110,6 +110,13 @@
 	       caller_count(queue, caller) * CALLER_DIVISOR > queue->items.length;
 }
 
+bool backlog_has_share(const struct backlog *bl, const struct backlog_item *item)
+{
+	struct backlog_service *svc = find_service(bl, item->service);
+
+	return svc && has_share(queue_of(svc, item->priority), item->caller);
+}
+
 bool backlog_is_full(const struct backlog *bl, size_t size)
 {
 	return bl->count >= BACKLOG_MAX || bl->bytes + size > BACKLOG_MAX_BYTES;
--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -34,6 +34,8 @@
 bool backlog_add(struct backlog *bl, struct backlog_item *item);
 /* Whether an opening of @size bytes exceeds the bounds, whoever its caller is. */
 bool backlog_is_full(const struct backlog *bl, size_t size);
+/* Whether the caller's address has its share, so that it adds none even if others make room. */
+bool backlog_has_share(const struct backlog *bl, const struct backlog_item *item);
 void backlog_remove(struct backlog *bl, struct backlog_item *item);
 /*
  * The opening of the service to place next, or NULL: of the highest priority, the oldest first; one
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -399,12 +399,13 @@
 static bool enqueue(struct steer *st, struct backlog_item *item, struct timespec now)
 {
 	struct steer_credit *sc = st->credit;
-	bool full = backlog_is_full(sc->backlog, item->size);
 	struct backlog_item *other;
 
 	if (backlog_add(sc->backlog, item))
 		return true;
-	other = full ? backlog_latest_below(sc->backlog, item->priority) : NULL;
+	if (backlog_has_share(sc->backlog, item))
+		return false;
+	other = backlog_latest_below(sc->backlog, item->priority);
 	if (!other)
 		return false;
 	refuse_waiting(st, other->link.data, RESET_NO_ROOM, now);
--- a/t/test-backlog.c
+++ b/t/test-backlog.c
@@ -103,8 +103,10 @@
 	item = new_item(WEB, 1, 7);
 	g_assert_false(backlog_add(bl, item));
 	g_assert_false(backlog_is_full(bl, item->size));
+	g_assert_true(backlog_has_share(bl, item));
 	/* Its openings of another priority have a share of their own. */
 	item->priority = 2;
+	g_assert_false(backlog_has_share(bl, item));
 	g_assert_true(backlog_add(bl, item));
 	/* Others are not kept out, and its share grows with the queue. */
 	for (uint32_t i = 0; i < 23; i++)
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -68,6 +68,8 @@
 	unsigned int nr = addr->caller.ip - CALLER_IP;
 
 	(void)seq;
+	if (nr >= CALLERS_MAX)
+		return;
 	fix->callers[nr].target = NULL;
 	add_output(fix, "reset c%u%s", nr, "");
 }
@@ -544,6 +546,57 @@
 	}
 }
 
+/* Opens a flow; callers from CALLERS_MAX on are not recorded in fix->sent. */
+static void open_from(struct fixture *fix, unsigned int caller, uint16_t caller_port, uint16_t port)
+{
+	uint8_t bytes[31] = { 0 };
+	struct caller_packet pkt = {
+		.caller = { CALLER_IP + caller, caller_port },
+		.service = { SERVICE_IP, port },
+		.seq = 100,
+		.syn = true,
+		.bytes = bytes,
+		.size = sizeof(bytes),
+	};
+
+	steer_packet(fix->control_state.steer, &pkt, fix->now);
+}
+
+#define FULL_OPENINGS  2000 /* more than the backlog holds */
+#define CALLER_FREE    8    /* openings that a caller may always add to a queue */
+#define CALLER_ATTEMPT 50
+
+/*
+ * A caller that has its share of a full backlog must not have less important openings of others
+ * refused by openings that are refused themselves.
+ */
+static void test_full_backlog(void)
+{
+	const struct edge_counters *cnt;
+	struct fixture fix;
+	uint32_t others;
+	uint64_t refused;
+
+	begin(&fix, FULL_OPENINGS + CALLER_ATTEMPT);
+	cnt = &fix.control_state.counters;
+	run_command(&fix, "target i-a web");
+	run_command(&fix, "config 1 web web");
+	run_command(&fix, "grant web i-a=1+0");
+	open_from(&fix, CALLERS_MAX, 1, 80);
+	for (unsigned int i = 1; i <= FULL_OPENINGS; i++)
+		open_from(&fix, CALLERS_MAX + i, 1, 443);
+	others = steer_credit_waiting_count(fix.control_state.steer, 2);
+	refused = cnt->refused_no_room;
+	g_assert_cmpuint(refused, ==, FULL_OPENINGS - others);
+	for (uint16_t i = 0; i < CALLER_ATTEMPT; i++)
+		open_from(&fix, CALLERS_MAX, (uint16_t)(2 + i), 80);
+	g_assert_cmpuint(steer_credit_waiting_count(fix.control_state.steer, 1), ==, CALLER_FREE);
+	g_assert_cmpuint(steer_credit_waiting_count(fix.control_state.steer, 2), ==,
+			 others - CALLER_FREE);
+	g_assert_cmpuint(cnt->refused_no_room - refused, ==, CALLER_ATTEMPT);
+	end(&fix);
+}
+
 #define ONE_TARGET                                                                                 \
 	"target i-a web\n"                                                                         \
 	"config 1 web web\n"
@@ -773,6 +826,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/steer-credit/logs", test_logs);
+	g_test_add_func("/steer-credit/full-backlog", test_full_backlog);
 	g_test_add_func("/steer-credit/random", test_random);
 	return g_test_run();
 }
