steer-credit: count no busy time for flows without a request

The time from the opening to the end of a flow whose caller sent no request, or to the return of its lapsed credit, was reported as time in which the target was busy. The service time that the reader derives was therefore too long.

--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -106,18 +106,26 @@
 	restart_clock(sc, fc, now);
 }
 
-/* What is not the time of the request at the target: the handshake, and its way and back. */
-static int64_t path_ms(const struct flow_credit *fc)
+/*
+ * What is not the time of the request at the target: the handshake, and its way and back. A target
+ * that has accepted a flow is not busy until the request comes.
+ */
+static int64_t path_ms(const struct flow_credit *fc, int64_t held_ms)
 {
-	return fc->requests ? ts_diff_ms(fc->since, fc->taken) + fc->accept_ms : 0;
+	const struct steer_flow *flow = fc->link.data;
+
+	if (fc->requests)
+		return ts_diff_ms(fc->since, fc->taken) + fc->accept_ms;
+	return flow->state == FLOW_OPEN ? held_ms : 0;
 }
 
 static void uncharge(struct steer_credit *sc, struct flow_credit *fc, enum credit_outcome outcome,
 		     struct timespec now)
 {
+	int64_t held_ms = ts_diff_ms(now, fc->taken);
+
 	dequeue_charged(sc, fc);
-	credit_return(sc->account, fc->charged, outcome, ts_diff_ms(now, fc->taken), path_ms(fc),
-		      now);
+	credit_return(sc->account, fc->charged, outcome, held_ms, path_ms(fc, held_ms), now);
 	fc->charged = NULL;
 	sc->pass_due = backlog_count(sc->backlog) > 0;
 }
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -311,7 +311,7 @@
 	g_assert_cmpuint(tgt->credit.in_use, ==, g_ascii_strtoull(words[2], NULL, 10));
 }
 
-/* seen NAME completed|rejected|failed|overdue NUMBER: since the start of the script */
+/* seen NAME completed|rejected|failed|overdue|busy_ms NUMBER: since the start of the script */
 static void do_seen(struct fixture *fix, char **words)
 {
 	const struct target_credit *tc =
@@ -324,6 +324,7 @@
 		{ "rejected", tc->rejected },
 		{ "failed", tc->failed },
 		{ "overdue", tc->overdue },
+		{ "busy_ms", (uint32_t)MAX(tc->busy_ms, 0) },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
@@ -773,6 +774,11 @@
 	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nwait 400\nin_use i-a 0\n"
 		     "seen i-a overdue 0\nrequest c1\nin_use i-a 1\nanswer c1\nin_use i-a 0\n"
 		     "seen i-a completed 1\n" },
+	/* The target was not busy: a service time that counts this shows it slower than it is. */
+	{ "charge/not-busy-without-a-request", ONE_TARGET
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nwait 100\nclose c1\nin_use i-a 0\n"
+	  "seen i-a busy_ms 0\nopen c2 80 => c2>i-a\naccept c2\nwait 400\nin_use i-a 0\n"
+	  "seen i-a busy_ms 0\n" },
 	{ "charge/same-address-opens-again", ONE_TARGET
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\nclose c1\nopen c1 80 => c1>i-a\n"
 	  "in_use i-a 1\n" },
