--- a/credit/account.h
+++ b/credit/account.h
@@ -17,7 +17,7 @@
 	CREDIT_ANSWERED,
 	CREDIT_REJECTED, /* by a short answer; the request has not run */
 	CREDIT_FAILED,	 /* without an answer */
-	CREDIT_MOVED,	 /* the opening was sent to another target */
+	CREDIT_MOVED,	 /* to another target, or left by the caller; says nothing about this one */
 };
 
 struct credit_account;
