steer-credit: end the outage of a service when a waiting opening is placed

Only openings that were placed at once ended an outage. While all openings waited for a credit, two outages less than 10 s apart counted as one, so openings without a usable target were refused at once as not worthwhile, although the second outage had just begun.

--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -254,6 +254,7 @@
 	backlog_placed(sc->backlog, &flow->credit->item);
 	update_waiting(sc, service);
 	if (tgt) {
+		steer_wait_end_outage(st, flow->addr.service, now);
 		st->opts.counters->openings_placed_credit++;
 		send_credited(st, flow, tgt, now);
 	} else {
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -220,6 +220,15 @@
 	{ "wait/for-a-credit-and-then-for-a-target", ONE_TARGET ONE_ANSWER
 	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 80\nwait 100\n"
 	  "trust i-a dead\ndrop\nwait 600\nwait 80 => reset c2\n" },
+	/*
+	 * A placement after the wait for a credit ends an outage. The next one, 6 s after the begin
+	 * of the first, must not be taken for a part of it, in which waiting is not worthwhile.
+	 */
+	{ "wait/ends-an-outage", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nrequest c1\ntrust i-a dead\nopen c2 443\n"
+	  "wait 800 => reset c2\ntrust i-a alive\nopen c3 443\nwait 10\nanswer c1 => c3>i-a\n"
+	  "request c3\nanswer c3\nwait 5400\ntrust i-a dead\nopen c4 443\nwait 700\n"
+	  "wait 100 => reset c4\n" },
 	{ "wait/full-table",
 	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 80 => reset c2\n"
 		     "counts 0 0 1 0\n",
