steer-credit: refuse waiting openings past their limit before placing

A pass placed waiting openings first and refused those past their limit afterwards. After a pause of the process, or between two passes, openings went to targets after their limit; after 2 s their callers have left, and the request only occupies the target. In the new script c2 and c3 were placed 2 s after they had arrived.

--- a/credit/backlog.c
+++ b/credit/backlog.c
@@ -200,6 +200,11 @@
 	backlog_remove(bl, item);
 }
 
+bool backlog_is_expired(const struct backlog_item *item, struct timespec now)
+{
+	return ts_diff_ms(now, item->since) >= item->limit_ms;
+}
+
 struct backlog_item *backlog_expired(struct backlog *bl, struct timespec now)
 {
 	GHashTableIter iter;
@@ -213,7 +218,7 @@
 			for (GList *link = svc->queues[i].items.head; link; link = link->next) {
 				struct backlog_item *item = item_of(link);
 
-				if (ts_diff_ms(now, item->since) >= item->limit_ms)
+				if (backlog_is_expired(item, now))
 					return item;
 			}
 		}
--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -44,6 +44,7 @@
 struct backlog_item *backlog_next(struct backlog *bl, uint32_t service);
 /* Removes the opening of backlog_next(), which is being placed. */
 void backlog_placed(struct backlog *bl, struct backlog_item *item);
+bool backlog_is_expired(const struct backlog_item *item, struct timespec now);
 /* An opening that has waited for its limit, or NULL. */
 struct backlog_item *backlog_expired(struct backlog *bl, struct timespec now);
 /* The opening that makes room for a more important one: the latest of the lowest priority. */
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -244,6 +244,10 @@
 		refuse_waiting(st, flow, RESET_NO_ROUTE, now);
 		return true;
 	}
+	if (backlog_is_expired(&flow->credit->item, now)) {
+		refuse_waiting(st, flow, RESET_NO_ROOM, now);
+		return true;
+	}
 	if (service_of(rule, digest) != service) {
 		change_service(st, flow, rule, now);
 		return true;
--- a/t/credit-script.h
+++ b/t/credit-script.h
@@ -297,6 +297,12 @@
 	}
 }
 
+/* pause MS: time passes without a timer */
+static void do_pause(struct fixture *fix, char **words)
+{
+	fix->now = ts_add_ms(fix->now, g_ascii_strtoll(words[1], NULL, 10));
+}
+
 static void do_stop(struct fixture *fix, char **words)
 {
 	(void)words;
@@ -378,7 +384,7 @@
 	{ "gone", do_gone },	   { "wait", do_wait },		 { "stop", do_stop },
 	{ "in_use", do_in_use },   { "seen", do_seen },		 { "counts", do_counts },
 	{ "reused", do_reused },   { "untold-grant", do_grant }, { "mark", do_mark },
-	{ "waiting", do_waiting }, { "reset", do_reset },
+	{ "waiting", do_waiting }, { "reset", do_reset },	 { "pause", do_pause },
 };
 
 static void run_command(struct fixture *fix, const char *command)
--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -229,6 +229,10 @@
 	  "wait 800 => reset c2\ntrust i-a alive\nopen c3 443\nwait 10\nanswer c1 => c3>i-a\n"
 	  "request c3\nanswer c3\nwait 5400\ntrust i-a dead\nopen c4 443\nwait 700\n"
 	  "wait 100 => reset c4\n" },
+	/* Placed after a pause of the process, it only occupies the target: the caller has left. */
+	{ "wait/not-placed-after-its-limit", ONE_TARGET ONE_ANSWER
+	  "grant web i-a=1+0\nopen c1 80 => c1>i-a\nopen c2 443\nopen c3 80\npause 2000\n"
+	  "drop => reset c3, reset c2\nin_use i-a 1\ncounts 2 0 2 0\n" },
 	{ "wait/full-table",
 	  ONE_TARGET "grant web i-a=1+0\nopen c1 80 => c1>i-a\naccept c1\nopen c2 80 => reset c2\n"
 		     "counts 0 0 1 0\n",
