--- a/t/test-steer-credit.c
+++ b/t/test-steer-credit.c
@@ -19,7 +19,8 @@
 						"open c%u 8080" };
 	static const char *const packets[] = { "accept c%u", "request c%u", "request c%u",
 					       "answer c%u", "answer c%u",  "answer c%u",
-					       "reject c%u", "close c%u",   "close c%u" };
+					       "reject c%u", "close c%u",   "close c%u",
+					       "reset c%u" };
 	static const char *const targets[] = {
 		"trust %s suspected", "trust %s alive", "trust %s alive",
 		"trust %s alive",     "gone %s",	"target %s web",
