--- a/credit/backlog.c
+++ b/credit/backlog.c
@@ -110,6 +110,13 @@
 	       caller_count(queue, caller) * CALLER_DIVISOR > queue->items.length;
 }
 
+bool backlog_has_share(const struct backlog *bl, const struct backlog_item *item)
+{
+	struct backlog_service *svc = find_service(bl, item->service);
+
+	return svc && has_share(queue_of(svc, item->priority), item->caller);
+}
+
 bool backlog_is_full(const struct backlog *bl, size_t size)
 {
 	return bl->count >= BACKLOG_MAX || bl->bytes + size > BACKLOG_MAX_BYTES;
@@ -193,6 +200,11 @@
 	backlog_remove(bl, item);
 }
 
+bool backlog_is_expired(const struct backlog_item *item, struct timespec now)
+{
+	return ts_diff_ms(now, item->since) >= item->limit_ms;
+}
+
 struct backlog_item *backlog_expired(struct backlog *bl, struct timespec now)
 {
 	GHashTableIter iter;
@@ -206,7 +218,7 @@
 			for (GList *link = svc->queues[i].items.head; link; link = link->next) {
 				struct backlog_item *item = item_of(link);
 
-				if (ts_diff_ms(now, item->since) >= item->limit_ms)
+				if (backlog_is_expired(item, now))
 					return item;
 			}
 		}
--- a/credit/backlog.h
+++ b/credit/backlog.h
@@ -34,6 +34,8 @@
 bool backlog_add(struct backlog *bl, struct backlog_item *item);
 /* Whether an opening of @size bytes exceeds the bounds, whoever its caller is. */
 bool backlog_is_full(const struct backlog *bl, size_t size);
+/* Whether the caller's address has its share, so that it adds none even if others make room. */
+bool backlog_has_share(const struct backlog *bl, const struct backlog_item *item);
 void backlog_remove(struct backlog *bl, struct backlog_item *item);
 /*
  * The opening of the service to place next, or NULL: of the highest priority, the oldest first; one
@@ -42,6 +44,7 @@
 struct backlog_item *backlog_next(struct backlog *bl, uint32_t service);
 /* Removes the opening of backlog_next(), which is being placed. */
 void backlog_placed(struct backlog *bl, struct backlog_item *item);
+bool backlog_is_expired(const struct backlog_item *item, struct timespec now);
 /* An opening that has waited for its limit, or NULL. */
 struct backlog_item *backlog_expired(struct backlog *bl, struct timespec now);
 /* The opening that makes room for a more important one: the latest of the lowest priority. */
--- a/credit/steer-credit.c
+++ b/credit/steer-credit.c
@@ -1,7 +1,7 @@
 #include "credit/steer-credit.h"
 
 #include "credit/account.h"
-#include "steer-internal.h"
+#include "credit/steer-credit-internal.h"
 
 /* Interval at which waiting openings are tried; a request takes a target 15 ms or more. */
 #define PASS_INTERVAL_MS 20
@@ -9,16 +9,6 @@
 #define OVERDUE_INTERVAL_MS 100
 #define FIGURES_LEN	    160
 
-struct steer_credit {
-	struct credit_account *account;
-	struct backlog *backlog;
-	GHashTable *charged; /* symbol of a service to GQueue of struct steer_flow, by .since */
-	uint32_t nr_queued;  /* in all queues of charged */
-	bool pass_due;	     /* a credit was returned while openings wait */
-	struct timespec next_pass;
-	struct timespec next_sweep;
-};
-
 /* It is empty: all flows have been removed. */
 static void free_queue(void *arg)
 {
@@ -32,6 +22,7 @@
 	st->credit = g_new0(struct steer_credit, 1);
 	st->credit->account = st->opts.credit;
 	st->credit->backlog = backlog_new();
+	g_queue_init(&st->credit->limited);
 	st->credit->charged = g_hash_table_new_full(NULL, NULL, NULL, free_queue);
 }
 
@@ -42,180 +33,6 @@
 	g_free(st->credit);
 }
 
-static struct flow_credit *get_flow_credit(struct steer_flow *flow)
-{
-	if (!flow->credit) {
-		flow->credit = g_new0(struct flow_credit, 1);
-		flow->credit->link.data = flow;
-		flow->credit->item.link.data = flow;
-	}
-	return flow->credit;
-}
-
-/* Charging, and overdue requests. */
-
-static void dequeue_charged(struct steer_credit *sc, struct flow_credit *fc)
-{
-	if (!fc->queue)
-		return;
-	g_queue_unlink(fc->queue, &fc->link);
-	fc->queue = NULL;
-	sc->nr_queued--;
-}
-
-/* The opening or the request is sent at @now. */
-static void restart_clock(struct steer_credit *sc, struct flow_credit *fc, struct timespec now)
-{
-	gpointer key = GUINT_TO_POINTER(fc->charged->service);
-	GQueue *queue = g_hash_table_lookup(sc->charged, key);
-
-	if (!queue) {
-		queue = g_queue_new();
-		g_hash_table_insert(sc->charged, key, queue);
-	}
-	dequeue_charged(sc, fc);
-	fc->since = now;
-	fc->queue = queue;
-	g_queue_push_tail_link(queue, &fc->link);
-	sc->nr_queued++;
-}
-
-static void charge(struct steer_credit *sc, struct flow_credit *fc, struct reg_target *tgt,
-		   struct timespec now)
-{
-	credit_take(sc->account, tgt, now);
-	fc->charged = tgt;
-	fc->taken = now;
-	restart_clock(sc, fc, now);
-}
-
-/* What is not the time of the request at the target: the handshake, and its way and back. */
-static int64_t path_ms(const struct flow_credit *fc)
-{
-	return fc->requests ? ts_diff_ms(fc->since, fc->taken) + fc->accept_ms : 0;
-}
-
-static void uncharge(struct steer_credit *sc, struct flow_credit *fc, enum credit_outcome outcome,
-		     struct timespec now)
-{
-	dequeue_charged(sc, fc);
-	credit_return(sc->account, fc->charged, outcome, ts_diff_ms(now, fc->taken), path_ms(fc),
-		      now);
-	fc->charged = NULL;
-	sc->pass_due = backlog_count(sc->backlog) > 0;
-}
-
-/* Also without a grant, so that the first one finds the number of requests in progress. */
-static bool is_chargeable(const struct steer *st, const struct steer_flow *flow,
-			  const struct reg_target *tgt, struct timespec now)
-{
-	const struct route_rule *rule = routing_find(st->opts.routing, flow->addr.service);
-
-	return (rule && rule->admission.goal_ms) ||
-	       credit_active(st->credit->account, tgt->service, now);
-}
-
-void steer_credit_sent(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
-		       struct timespec now)
-{
-	if (flow->credit && flow->credit->charged)
-		uncharge(st->credit, flow->credit, CREDIT_MOVED, now);
-	else if (!is_chargeable(st, flow, tgt, now))
-		return;
-	charge(st->credit, get_flow_credit(flow), tgt, now);
-}
-
-void steer_credit_accepted(struct steer *st, struct steer_flow *flow, struct reg_target *tgt,
-			   struct timespec sent, struct timespec now)
-{
-	struct flow_credit *fc = flow->credit;
-
-	if (!fc->charged)
-		return;
-	fc->accept_ms = ts_diff_ms(now, sent);
-	if (fc->charged != tgt) {
-		uncharge(st->credit, fc, CREDIT_MOVED, now);
-		charge(st->credit, fc, tgt, now);
-	}
-	restart_clock(st->credit, fc, now);
-}
-
-void steer_credit_request(struct steer *st, struct steer_flow *flow, struct timespec now)
-{
-	struct flow_credit *fc = flow->credit;
-
-	if (fc->requests < 2 && ++fc->requests == 2)
-		credit_note_reuse(st->credit->account, flow->target->service);
-	if (fc->lapsed && fc->requests == 1)
-		charge(st->credit, fc, flow->target, now);
-	else if (fc->charged)
-		restart_clock(st->credit, fc, now);
-}
-
-void steer_credit_answered(struct steer *st, struct steer_flow *flow, bool short_answer,
-			   struct timespec now)
-{
-	if (flow->credit->charged)
-		uncharge(st->credit, flow->credit, short_answer ? CREDIT_REJECTED : CREDIT_ANSWERED,
-			 now);
-}
-
-static bool is_overdue(const struct steer_credit *sc, const struct flow_credit *fc,
-		       struct timespec now)
-{
-	return fc->overdue ||
-	       ts_diff_ms(now, fc->since) >= credit_overdue_ms(sc->account, fc->charged->service);
-}
-
-void steer_credit_end(struct steer *st, struct steer_flow *flow, bool target_failed,
-		      struct timespec now)
-{
-	struct flow_credit *fc = flow->credit;
-	bool outstanding = flow->busy || flow->state == FLOW_OPENING;
-
-	if (!fc->charged)
-		return;
-	/* A caller that closes early says nothing about the target. */
-	if (target_failed || (outstanding && is_overdue(st->credit, fc, now)))
-		uncharge(st->credit, fc, CREDIT_FAILED, now);
-	else
-		uncharge(st->credit, fc, CREDIT_MOVED, now);
-}
-
-static void note_overdue(struct steer_credit *sc, struct steer_flow *flow, struct timespec now)
-{
-	struct flow_credit *fc = flow->credit;
-
-	dequeue_charged(sc, fc);
-	if (flow->state == FLOW_OPEN && !fc->requests) {
-		/* Callers that send no request must not hold credits that others could use. */
-		fc->lapsed = true;
-		uncharge(sc, fc, CREDIT_MOVED, now);
-	} else if (!fc->overdue) {
-		fc->overdue = true;
-		credit_note_overdue(sc->account, fc->charged);
-	}
-}
-
-static void sweep_charged(struct steer_credit *sc, struct timespec now)
-{
-	GHashTableIter iter;
-	gpointer service;
-	gpointer queue;
-
-	g_hash_table_iter_init(&iter, sc->charged);
-	while (g_hash_table_iter_next(&iter, &service, &queue)) {
-		int64_t limit_ms = credit_overdue_ms(sc->account, GPOINTER_TO_UINT(service));
-		struct steer_flow *flow;
-
-		while ((flow = g_queue_peek_head(queue)) &&
-		       ts_diff_ms(now, flow->credit->since) >= limit_ms)
-			note_overdue(sc, flow, now);
-	}
-}
-
-/* Placing and waiting. */
-
 static uint32_t service_of(const struct route_rule *rule, uint64_t flow_digest)
 {
 	return placing_service(rule, flow_digest)->service;
@@ -341,12 +158,13 @@
 static bool enqueue(struct steer *st, struct backlog_item *item, struct timespec now)
 {
 	struct steer_credit *sc = st->credit;
-	bool full = backlog_is_full(sc->backlog, item->size);
 	struct backlog_item *other;
 
 	if (backlog_add(sc->backlog, item))
 		return true;
-	other = full ? backlog_latest_below(sc->backlog, item->priority) : NULL;
+	if (backlog_has_share(sc->backlog, item))
+		return false;
+	other = backlog_latest_below(sc->backlog, item->priority);
 	if (!other)
 		return false;
 	refuse_waiting(st, other->link.data, RESET_NO_ROOM, now);
@@ -357,7 +175,7 @@
 static bool begin_wait(struct steer *st, struct steer_flow *flow, const struct route_rule *rule,
 		       const struct wait_figures *fig, struct timespec now)
 {
-	struct backlog_item *item = &get_flow_credit(flow)->item;
+	struct backlog_item *item = &steer_charge_get(flow)->item;
 	struct steer_credit *sc = st->credit;
 	char text[FLOW_TEXT_LEN];
 
@@ -426,6 +244,10 @@
 		refuse_waiting(st, flow, RESET_NO_ROUTE, now);
 		return true;
 	}
+	if (backlog_is_expired(&flow->credit->item, now)) {
+		refuse_waiting(st, flow, RESET_NO_ROOM, now);
+		return true;
+	}
 	if (service_of(rule, digest) != service) {
 		change_service(st, flow, rule, now);
 		return true;
@@ -436,6 +258,7 @@
 	backlog_placed(sc->backlog, &flow->credit->item);
 	update_waiting(sc, service);
 	if (tgt) {
+		steer_wait_end_outage(st, flow->addr.service, now);
 		st->opts.counters->openings_placed_credit++;
 		send_credited(st, flow, tgt, now);
 	} else {
@@ -538,11 +361,12 @@
 
 	if (active || cls->goal_ms)
 		credit_note_opening(sc->account, service, cls->priority);
-	/* Those that wait for a usable target come first. */
+	/* Also after the end of the grant, those that wait come first. */
+	if (backlog_count(sc->backlog))
+		place_service(st, service, now);
+	/* So do those that wait for a usable target. */
 	if (!active || steer_wait_has_queue(st, pkt->service))
 		return false;
-	if (nr_waiting(sc, service))
-		place_service(st, service, now);
 	if (!has_queue(sc, service, cls->priority)) {
 		tgt = choose(st, service, rule, digest, &usable, now);
 		if (tgt) {
@@ -565,7 +389,7 @@
 
 	if (sc->nr_queued && ts_cmp(now, sc->next_sweep) >= 0) {
 		sc->next_sweep = ts_add_ms(now, OVERDUE_INTERVAL_MS);
-		sweep_charged(sc, now);
+		steer_charge_sweep(st, now);
 	}
 	if (backlog_count(sc->backlog) && ts_cmp(now, sc->next_pass) >= 0) {
 		sc->next_pass = ts_add_ms(now, PASS_INTERVAL_MS);
