credit: keep a lender's slots for its own important class

Equal ratios counted all demand alike. A borrower with ten times its capacity in lower classes got 20 of a lender's 40 slots within a few rounds, and would get 36 by the formula, although the important class needs 23 of them at 85% of use.

Lend at most what the important class of the own members leaves. When the important classes of all do not fit together, each data centre serves the same part of its own, as before. A borrower states that part of its demand in the first of the otherwise unused openings of its request, so the encoding of messages stays the same.

test-allocator /allocator/lender-keeps-important fails before (20 of 40 slots kept, at least 23 expected) and passes now.

--- a/credit/allocator-internal.h
+++ b/credit/allocator-internal.h
@@ -16,10 +16,11 @@
 	uint32_t round; /* the last one that listed it */
 	int64_t joined_ms;
 	bool borrower;
-	double wanted;	 /* of a borrower */
-	double demand;	 /* of a borrower, less what others lend */
-	double capacity; /* of a borrower's own targets */
-	double lent;	 /* to a borrower */
+	double wanted;	  /* of a borrower */
+	double demand;	  /* of a borrower, less what others lend */
+	double important; /* of it, of priorities 0 and 1 */
+	double capacity;  /* of a borrower's own targets */
+	double lent;	  /* to a borrower */
 	double demand_high;
 	double demand_low;
 	double weight;
@@ -73,6 +74,7 @@
 	double mean_credit; /* of the kind that is being divided */
 	int64_t shortage_milli;
 	int64_t demand_milli;
+	int64_t important_milli;
 	int64_t capacity_milli;
 	double spare;	  /* slots that neither members nor borrowers need */
 	double left_free; /* of them, given to nobody in the last round */
--- a/credit/allocator.c
+++ b/credit/allocator.c
@@ -129,6 +129,7 @@
 		holder->borrower = mem->borrower;
 		holder->wanted = mem->borrower ? mem->wanted_milli : 0;
 		holder->demand = mem->borrower ? mem->demand_milli : 0;
+		holder->important = mem->borrower ? mem->important_milli : 0;
 		holder->capacity = mem->borrower ? mem->capacity_milli : 0;
 		holder->demand_high = demand_of(mem, 0, 2, round->service_time_us);
 		holder->demand_low = demand_of(mem, 2, CREDIT_PRIORITIES, round->service_time_us);
@@ -635,6 +636,11 @@
 	return al->demand_milli;
 }
 
+int64_t allocator_important_milli(const struct allocator *al)
+{
+	return al->important_milli;
+}
+
 int64_t allocator_capacity_milli(const struct allocator *al)
 {
 	return al->capacity_milli;
--- a/credit/allocator.h
+++ b/credit/allocator.h
@@ -27,8 +27,9 @@
 	bool borrower; /* the reader of another data centre */
 	/* Of a borrower, in thousandths of a slot. */
 	uint32_t wanted_milli;
-	uint32_t demand_milli;	 /* less what other data centres lend */
-	uint32_t capacity_milli; /* of its own targets */
+	uint32_t demand_milli;	  /* less what other data centres lend */
+	uint32_t important_milli; /* of it, of priorities 0 and 1 */
+	uint32_t capacity_milli;  /* of its own targets */
 };
 
 struct alloc_round {
@@ -51,6 +52,7 @@
 const GArray *allocator_credits(const struct allocator *al, uint32_t member);
 /* Demand and own capacity in the last round, in thousandths of a slot. */
 int64_t allocator_demand_milli(const struct allocator *al);
+int64_t allocator_important_milli(const struct allocator *al); /* of priorities 0 and 1 */
 int64_t allocator_capacity_milli(const struct allocator *al);
 /*
  * By how much the demand of the last round exceeds 85% of the slots of its own data centre, in
--- a/credit/exchange-internal.h
+++ b/credit/exchange-internal.h
@@ -34,10 +34,11 @@
 	uint32_t openings[EXCHANGE_WINDOW_PARTS];
 	uint32_t reused[EXCHANGE_WINDOW_PARTS];
 	struct timespec last_opening;
-	GHashTable *left_out;	/* identifiers of targets that are left out in part */
-	uint32_t slots;		/* of its own targets in the latest round */
-	int64_t shortage_milli; /* average */
-	int64_t demand_milli;	/* average over about 1 s */
+	GHashTable *left_out;	 /* identifiers of targets that are left out in part */
+	uint32_t slots;		 /* of its own targets in the latest round */
+	int64_t shortage_milli;	 /* average */
+	int64_t demand_milli;	 /* average over about 1 s */
+	int64_t important_milli; /* likewise, of priorities 0 and 1 */
 	bool borrows;
 };
 
@@ -55,6 +56,7 @@
 	bool rated; /* rate_milli has a first value */
 	uint32_t wanted_milli[EXCHANGE_MAX_SERVICES];
 	uint32_t demand_milli[EXCHANGE_MAX_SERVICES];
+	uint32_t important_milli[EXCHANGE_MAX_SERVICES];
 	uint32_t capacity_milli[EXCHANGE_MAX_SERVICES];
 	uint64_t grant_hash; /* of the latest grant, without its sequence number */
 	struct timespec grant_sent;
@@ -75,7 +77,8 @@
 	struct timespec granted;
 	GArray *lent; /* struct ex_lent */
 	uint32_t asked_milli[EXCHANGE_MAX_SERVICES];
-	uint32_t demand_milli[EXCHANGE_MAX_SERVICES]; /* that others do not serve */
+	uint32_t demand_milli[EXCHANGE_MAX_SERVICES];	 /* that others do not serve */
+	uint32_t important_milli[EXCHANGE_MAX_SERVICES]; /* of it */
 	struct timespec asked; /* latest request; 0 while nothing is borrowed */
 	bool listed;
 };
--- a/credit/exchange-lend.c
+++ b/credit/exchange-lend.c
@@ -239,6 +239,8 @@
 			svc->shortage_milli, allocator_shortage_milli(svc->allocator), passed_ms);
 		svc->demand_milli = ex_average(svc->demand_milli,
 					       allocator_demand_milli(svc->allocator), passed_ms);
+		svc->important_milli = ex_average(
+			svc->important_milli, allocator_important_milli(svc->allocator), passed_ms);
 	}
 	borrows &= svc->shortage_milli > slots_milli / (svc->borrows ? END_DIVISOR : BEGIN_DIVISOR);
 	if (borrows != svc->borrows)
@@ -283,6 +285,8 @@
 			(uint32_t)CLAMP(svc->shortage_milli, SLOT_MILLI, ASK_MAX_MILLI);
 		lender->demand_milli[place] =
 			(uint32_t)CLAMP(svc->demand_milli - others, 0, ASK_MAX_MILLI);
+		lender->important_milli[place] =
+			(uint32_t)CLAMP(svc->important_milli - others, 0, ASK_MAX_MILLI);
 	}
 }
 
@@ -302,6 +306,7 @@
 		room -= bytes;
 		demands[nr].service = (char *)name;
 		demands[nr].wanted_milli = lender->asked_milli[i];
+		demands[nr].openings[0] = lender->important_milli[i];
 		demands[nr].demand_milli = lender->demand_milli[i];
 		demands[nr++].capacity_milli = (uint32_t)CLAMP(
 			allocator_capacity_milli(ex->services[i].allocator), 0, ASK_MAX_MILLI);
--- a/credit/exchange-member.c
+++ b/credit/exchange-member.c
@@ -258,6 +258,8 @@
 	if (member->borrower) {
 		member->wanted_milli[svc - ex->services] = from->wanted_milli;
 		member->demand_milli[svc - ex->services] = from->demand_milli;
+		member->important_milli[svc - ex->services] =
+			MIN(from->openings[0], from->demand_milli);
 		member->capacity_milli[svc - ex->services] = from->capacity_milli;
 		return;
 	}
--- a/credit/exchange-reader.c
+++ b/credit/exchange-reader.c
@@ -101,6 +101,7 @@
 			.borrower = member->borrower,
 			.wanted_milli = member->wanted_milli[place],
 			.demand_milli = member->demand_milli[place],
+			.important_milli = member->important_milli[place],
 			.capacity_milli = member->capacity_milli[place],
 		};
 
--- a/credit/shares.c
+++ b/credit/shares.c
@@ -67,17 +67,40 @@
 	return part < holder->lent ? part : holder->lent + (part - holder->lent) * LEND_STEP;
 }
 
+/*
+ * Slots that can be lent. The important class of the own members keeps what it needs, however many
+ * openings of lower classes borrowers have. If the important classes of all do not fit together,
+ * each data centre serves the same part of its own.
+ */
+static double slots_to_lend(const struct allocator *al, double important, double capacity)
+{
+	double sum_important = important;
+	double sum_capacity = capacity;
+
+	for (size_t i = 0; i < al->borrowers->len; i++) {
+		const struct holder *holder = al->borrowers->pdata[i];
+
+		if (holder->wanted <= 0)
+			continue;
+		sum_important += holder->important;
+		sum_capacity += holder->capacity;
+	}
+	return MAX(capacity - important / MAX(sum_important / sum_capacity, USABLE_SHARE), 0);
+}
+
 /*
  * Lends to borrowers so that demand and capacity come to the same ratio here and there, as far as
  * theirs is clearly higher. Returns the slots that are lent.
  */
-static double share_with_borrowers(struct allocator *al, double demand, double capacity)
+static double share_with_borrowers(struct allocator *al, double demand, double important,
+				   double capacity)
 {
 	double sum_demand = demand;
 	double sum_capacity = capacity;
 	double wanted = 0;
 	double lent = 0;
 	double part = 0;
+	double most;
 	double level;
 
 	for (size_t i = 0; i < al->borrowers->len; i++) {
@@ -101,10 +124,14 @@
 		wanted += holder->wanted;
 	}
 	/* Above a level of 1, both serve the same part of their demand. */
-	if (wanted > 0)
+	most = slots_to_lend(al, important, capacity);
+	if (wanted > 0) {
 		part = CLAMP((level * capacity - demand) / wanted, 0, 1) / MAX(level, 1);
+		part = MIN(part, most / wanted);
+	}
 	for (size_t i = 0; i < al->borrowers->len; i++) {
 		struct holder *holder = al->borrowers->pdata[i];
+
 		holder->lent = next_lent(holder, holder->wanted * part);
 		holder->share[KIND_SLOT] = holder->lent;
 		lent += holder->lent;
@@ -142,13 +169,14 @@
 	al->shortage_milli = 0;
 	al->spare = 0;
 	al->demand_milli = (int64_t)(high + low);
+	al->important_milli = (int64_t)high;
 	al->capacity_milli = (int64_t)(own / USABLE_SHARE);
 	/* Demand is unknown while the service time is: nothing is lent or borrowed. */
 	if (round->service_time_us || high + low <= 0) {
 		al->shortage_milli = (int64_t)(high + low - own);
 		share = lower_share(total[KIND_SLOT], high, low);
 		al->spare = own - high - low;
-		lent = share_with_borrowers(al, high + low, own / USABLE_SHARE);
+		lent = share_with_borrowers(al, high + low, high, own / USABLE_SHARE);
 		al->spare -= lent;
 		total[KIND_QUEUE] -= share_queue(al, own / USABLE_SHARE, total[KIND_QUEUE]);
 		/* What is left free is missing from all shares alike. */
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -341,6 +341,10 @@
 /* Demand of one service since the sender's previous report. */
 struct peer_credit_demand {
 	peer_name service;
+	/*
+	 * Of a reader of another data centre, the first one is its demand of priorities 0 and 1,
+	 * less what others lend, in thousandths of a slot, and the rest is 0.
+	 */
 	unsigned int openings[PEER_CREDIT_PRIORITIES];
 	unsigned int reused;  /* second requests on a flow */
 	unsigned int waiting; /* openings that wait for a credit */
--- a/t/test-allocator.c
+++ b/t/test-allocator.c
@@ -400,6 +400,7 @@
 			fx.members[4 + b].borrower = true;
 			fx.members[4 + b].wanted_milli = cases[c].borrowers[b].wanted;
 			fx.members[4 + b].demand_milli = cases[c].borrowers[b].demand;
+			fx.members[4 + b].important_milli = cases[c].borrowers[b].demand;
 			fx.members[4 + b].capacity_milli = cases[c].borrowers[b].capacity;
 		}
 		for (int r = 0; r < 60; r++) {
@@ -429,6 +430,53 @@
 	}
 }
 
+/*
+ * Guards against a lender whose important class no longer fits because of the lower classes of
+ * borrowers. When the important classes do not fit together, each serves the same part of its own.
+ */
+static void test_lender_keeps_important(void)
+{
+	const struct {
+		double important, lower; /* own demand, in slots, of 40 */
+		uint32_t demand, demand_important;
+		double kept; /* slots, at least */
+		double lent; /* likewise */
+	} cases[] = {
+		/* 20 slots for the important class at 85% of use. */
+		{ 20, 0, 400000, 0, 23, 12 },
+		{ 20, 40, 400000, 10000, 23, 12 },
+		{ 34, 0, 400000, 0, 40, 0 },
+		{ 38, 40, 400000, 10000, 40, 0 },
+		/* Lower classes alone, and important ones that exceed all slots alike. */
+		{ 0, 60, 180000, 0, 20, 18 },
+		{ 60, 0, 180000, 180000, 20, 18 },
+	};
+
+	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
+		struct fixture fx;
+		struct held lent;
+
+		fixture_init(&fx, 20, 5);
+		for (size_t m = 0; m < 4; m++) {
+			fx.members[m].openings_milli_per_s[1] =
+				demand_milli(cases[c].important / 4);
+			fx.members[m].openings_milli_per_s[2] = demand_milli(cases[c].lower / 4);
+		}
+		fx.members[4].borrower = true;
+		fx.members[4].wanted_milli = 400000;
+		fx.members[4].demand_milli = cases[c].demand;
+		fx.members[4].important_milli = cases[c].demand_important;
+		fx.members[4].capacity_milli = 40000;
+		for (int r = 0; r < 60; r++) {
+			run_round(&fx);
+			lent = sum_held(&fx, 5);
+			g_assert_cmpfloat(40 - lent.slots, >=, cases[c].kept);
+		}
+		g_assert_cmpfloat(lent.slots, >=, cases[c].lent);
+		fixture_release(&fx);
+	}
+}
+
 /*
  * The queue of a target holds at most a quarter of the goal: guards against idle slots while
  * instances without a free credit refuse openings, and against requests that are late in queues.
@@ -684,6 +732,7 @@
 	g_test_add_func("/allocator/queue-credits", test_queue_credits);
 	g_test_add_func("/allocator/targets", test_targets);
 	g_test_add_func("/allocator/borrowers", test_borrowers);
+	g_test_add_func("/allocator/lender-keeps-important", test_lender_keeps_important);
 	g_test_add_func("/allocator/queue-by-goal", test_queue_by_goal);
 	g_test_add_func("/allocator/unknown-service-time", test_unknown_service_time);
 	g_test_add_func("/allocator/come-and-go", test_come_and_go);
