credit: take lent slots back by steps

Each lender reduced its part at once when another one had begun to lend, and increased it by a quarter of the difference. With five lenders a borrower had 25 to 35 slots, with 64 changes in 20 s.

Approach the part by steps in both directions. What the important class of the own members needs is still taken back within one round.

test-lending /lending/equal-lenders/5 fails before; now 32 to 32 slots, one change in 20 s, and 26 and 29 with two and three lenders.

--- a/credit/shares.c
+++ b/credit/shares.c
@@ -59,12 +59,13 @@
 }
 
 /*
- * Several lenders answer the same request, so each approaches its part by steps. What its own
- * members need is taken back at once.
+ * Several lenders answer the same request, so each approaches its part by steps in both directions:
+ * when five lenders took back at once what others had begun to lend, a borrower had 25 and 35 slots
+ * in turn. @most, what the own important class leaves, is kept to at once.
  */
-static double next_lent(const struct holder *holder, double part)
+static double next_lent(const struct holder *holder, double part, double most)
 {
-	return part < holder->lent ? part : holder->lent + (part - holder->lent) * LEND_STEP;
+	return MIN(holder->lent + (part - holder->lent) * LEND_STEP, most);
 }
 
 /*
@@ -132,7 +133,7 @@
 	for (size_t i = 0; i < al->borrowers->len; i++) {
 		struct holder *holder = al->borrowers->pdata[i];
 
-		holder->lent = next_lent(holder, holder->wanted * part);
+		holder->lent = next_lent(holder, holder->wanted * part, most - lent);
 		holder->share[KIND_SLOT] = holder->lent;
 		lent += holder->lent;
 	}
--- a/t/test-lending.c
+++ b/t/test-lending.c
@@ -119,6 +119,42 @@
 	csim_release(sim);
 }
 
+/* Several lenders that answer one request must neither lend too much together nor swing. */
+static void test_equal_lenders(gconstpointer data)
+{
+	const char *names[] = { "home", "away", "far", "east", "west", "north" };
+	unsigned int nr = GPOINTER_TO_UINT(data) + 1; /* data centres */
+	struct csim *sim = g_new(struct csim, 1);
+	uint32_t least = UINT32_MAX;
+	uint32_t most = 0;
+	uint32_t last = 0;
+	unsigned int changes = 0;
+
+	csim_init(sim);
+	for (unsigned int i = 0; i < nr; i++)
+		csim_add_targets(sim, names[i], 20);
+	for (unsigned int i = 0; i < nr; i++) {
+		csim_add_node(sim, names[i], i, EXCHANGE_READER, i ? 400 : 1200);
+		sim->readers[i].data_centre = names[i];
+		sim->readers[i].entry.ep = (struct endpoint){ CSIM_SELF_IP + i, 7000 };
+		sim->readers[i].entry.revision = 1;
+	}
+	sim->nr_readers = nr;
+	csim_run(sim, 15000);
+	for (int round = 0; round < 400; round++) {
+		csim_run(sim, 50);
+		changes += csim_status(&sim->nodes[0]).borrowed != last;
+		last = csim_status(&sim->nodes[0]).borrowed;
+		least = MIN(least, last);
+		most = MAX(most, last);
+	}
+	g_test_message("%u lenders: borrowed %u to %u, %u changes in 20 s", nr - 1, least, most,
+		       changes);
+	g_assert_cmpuint(most - least, <=, 4);
+	g_assert_cmpuint(least, >=, 8);
+	csim_release(sim);
+}
+
 /* A data centre without demand of its own lends too. */
 static void test_idle_lender(void)
 {
@@ -223,6 +259,9 @@
 	g_test_add_func("/lending/shortage", test_lending);
 	g_test_add_data_func("/lending/two-lenders/first", GUINT_TO_POINTER(1), test_two_lenders);
 	g_test_add_data_func("/lending/two-lenders/second", GUINT_TO_POINTER(2), test_two_lenders);
+	g_test_add_data_func("/lending/equal-lenders/2", GUINT_TO_POINTER(2), test_equal_lenders);
+	g_test_add_data_func("/lending/equal-lenders/3", GUINT_TO_POINTER(3), test_equal_lenders);
+	g_test_add_data_func("/lending/equal-lenders/5", GUINT_TO_POINTER(5), test_equal_lenders);
 	g_test_add_func("/lending/idle-lender", test_idle_lender);
 	g_test_add_func("/lending/withdrawn", test_withdrawn);
 	g_test_add_func("/lending/lender-dies", test_lender_dies);
