credit: don't take counts from before a service took part for an interval

Observations of a service that does not take part are added up without the end of an interval. The first interval then had the completions of up to a minute, with busy time limited to that of one interval, so that requests of 20 ms seemed to take 0.4 ms, and demand was 50 times too small until the average had decayed. Old failures left targets out.

Drop what was counted for more than three intervals.

test-monitor /monitor/late-start fails before (413 us) and passes now.

--- a/credit/monitor.c
+++ b/credit/monitor.c
@@ -32,17 +32,20 @@
 /* Reports of other instances cover time before the death for this long. */
 #define DEAD_OVERLAP_MS 250
 /* An instance whose report of a death was refuted is not believed for this long. */
-#define DOUBT_MS      10000
-#define FORGET_MS     60000
-#define SEEN_MAX      16384
-#define FORGET_PERIOD 5000
+#define DOUBT_MS  10000
+#define FORGET_MS 60000
+/* A round may be late, and a reader's first one follows after two intervals. */
+#define COUNTED_INTERVALS 3
+#define SEEN_MAX	  16384
+#define FORGET_PERIOD	  5000
 
 struct seen {
 	uint64_t key;
 	uint32_t service;
 	int64_t last_ms; /* reported or listed */
 	int64_t answered_ms;
-	/* Since the last interval ended. */
+	int64_t counted_from_ms;
+	/* Since then, the end of the last interval. */
 	double completed;
 	double bad;
 	double busy_ms;
@@ -114,6 +117,7 @@
 		seen = g_new0(struct seen, 1);
 		seen->key = key;
 		seen->answered_ms = -1;
+		seen->counted_from_ms = now_ms;
 		seen->speed_permille = 1000;
 		seen->level_permille = LEVEL_MAX;
 		seen->capacity_permille = LEVEL_MAX;
@@ -182,6 +186,17 @@
 	return us ? 1000.0 / us : 0;
 }
 
+/*
+ * Drops what was counted over more than an interval, because the service did not take part. It
+ * would pass for the completions and failures of one interval.
+ */
+static void drop_old_counts(struct seen *seen, uint32_t interval_ms, int64_t now_ms)
+{
+	if (now_ms - seen->counted_from_ms > (int64_t)interval_ms * COUNTED_INTERVALS)
+		seen->completed = seen->bad = seen->busy_ms = seen->timed = 0;
+	seen->counted_from_ms = now_ms;
+}
+
 /* Ends an interval of what was counted; @mean is the rate of the service, 0 if unknown. */
 static void update_sums(struct listed *tgt, uint32_t interval_ms, double mean)
 {
@@ -369,8 +384,12 @@
 
 	for (size_t i = 0; i < nr; i++)
 		slots += targets[i].slots;
-	for (size_t i = 0; i < listed->len; i++)
-		update_sums(&g_array_index(listed, struct listed, i), interval_ms, mean);
+	for (size_t i = 0; i < listed->len; i++) {
+		struct listed *tgt = &g_array_index(listed, struct listed, i);
+
+		drop_old_counts(tgt->seen, interval_ms, ts_to_ms(now));
+		update_sums(tgt, interval_ms, mean);
+	}
 	update_speeds(mon, service, listed);
 	share = service_bad_share(listed);
 	for (size_t i = 0; i < listed->len; i++) {
--- a/t/test-monitor.c
+++ b/t/test-monitor.c
@@ -444,11 +444,38 @@
 	fixture_release(&fx);
 }
 
+/*
+ * A service with few openings is reported without intervals, until it takes part. What was counted
+ * before must not pass for one interval: requests of 20 ms seemed to take 0.4 ms, so that a shortage
+ * was not noticed, and old failures left targets out.
+ */
+static void test_late_start(void)
+{
+	struct fixture fx;
+
+	fixture_init(&fx, 8);
+	for (int i = 0; i < 120; i++) {
+		add_steady(&fx, 0, 20);
+		add(&fx, REPORTER, (struct credit_observation){ .target = 1, .failed = i < 40 });
+		fx.now_ms += INTERVAL_MS;
+	}
+	for (int i = 0; i < 8; i++) {
+		add_steady(&fx, 0, 20);
+		tick(&fx);
+		if (monitor_service_time_us(fx.mon, SERVICE))
+			assert_near(monitor_service_time_us(fx.mon, SERVICE), 20000, 10);
+		g_assert_cmpuint(get(&fx, 1).capacity_permille, ==, 1000);
+	}
+	assert_near(monitor_service_time_us(fx.mon, SERVICE), 20000, 10);
+	fixture_release(&fx);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/monitor/speed", test_speed);
 	g_test_add_func("/monitor/speed-changes", test_speed_changes);
+	g_test_add_func("/monitor/late-start", test_late_start);
 	g_test_add_func("/monitor/nonsense", test_nonsense);
 	g_test_add_func("/monitor/ejection", test_ejection);
 	g_test_add_func("/monitor/recovery", test_recovery);
