credit: limit the demand of one member

A member that reported nonsense, or had a flood of openings, got nearly all credits: with a demand of 1,000,000 slots the nine others held 1.0 of 40 slots, though they need 18 for their important class.

Count at most twice all slots for each class of a member, or the demand of all others together if that is larger.

test-allocator /allocator/nonsense fails before and passes now. test-exchange /exchange/nonsense-demand guards the way from the report to the credits; it passed before too.

--- a/credit/shares.c
+++ b/credit/shares.c
@@ -10,6 +10,8 @@
 /* Data centres whose ratios of demand to capacity differ by less do not lend to one another. */
 #define LEND_RATIO 1.1
 #define LEND_STEP  0.25
+/* Demand of one member that counts, in times all slots. */
+#define DEMAND_MAX 2
 /* Sums of the excess load of targets cover about 12 s, at four rounds a second. */
 #define EXCESS_DECAY 0.98
 
@@ -37,6 +39,25 @@
 	}
 }
 
+/*
+ * Limits the demand of each member to twice all slots, or to that of all others together if it is
+ * larger: one that reports nonsense must not take the shares of the others.
+ */
+static void limit_demands(struct allocator *al, double most)
+{
+	double high;
+	double low;
+
+	sum_demand(al, &high, &low);
+	for (size_t i = 0; al->members->len > 1 && i < al->members->len; i++) {
+		struct holder *holder = al->members->pdata[i];
+
+		holder->demand_high =
+			MIN(holder->demand_high, MAX(most, high - holder->demand_high));
+		holder->demand_low = MIN(holder->demand_low, MAX(most, low - holder->demand_low));
+	}
+}
+
 /* Common share of the lower priorities, so that all demand together is the capacity. */
 static double lower_share(double capacity, double high, double low)
 {
@@ -166,6 +187,8 @@
 
 	for (enum credit_kind kind = 0; kind < KINDS; kind++)
 		total[kind] = allocator_sum_credits(al, kind, false);
+	if (round->service_time_us)
+		limit_demands(al, total[KIND_SLOT] * DEMAND_MAX);
 	sum_demand(al, &high, &low);
 	al->shortage_milli = 0;
 	al->spare = 0;
--- a/t/test-allocator.c
+++ b/t/test-allocator.c
@@ -430,6 +430,38 @@
 	}
 }
 
+/*
+ * A member that reports nonsense, or gets a flood of openings, must not take all credits, nor those
+ * that the others' important class needs when its own openings are of a lower one.
+ */
+static void test_nonsense_demand(void)
+{
+	const uint32_t prios[] = { 1, 2 };
+
+	for (size_t p = 0; p < G_N_ELEMENTS(prios); p++) {
+		struct fixture fx;
+		double mean = 0;
+
+		fixture_init(&fx, 20, 10);
+		for (size_t m = 0; m < 10; m++) {
+			fx.members[m].openings_milli_per_s[1] = demand_milli(2);
+			fx.members[m].openings_milli_per_s[2] = demand_milli(1.5);
+		}
+		fx.members[0].openings_milli_per_s[prios[p]] = demand_milli(1e6);
+		for (int r = 0; r < 200; r++) {
+			run_round(&fx);
+			if (r >= 100)
+				for (uint32_t m = 1; m < 10; m++)
+					mean += sum_held(&fx, m + 1).slots / 100.0;
+		}
+		g_test_message("others hold %.1f of 40 slots", mean);
+		/* Their important class alone needs 18. */
+		g_assert_cmpfloat(mean, >=, p ? 18 : 7);
+		g_assert_cmpint(allocator_shortage_milli(fx.al), <=, 100000);
+		fixture_release(&fx);
+	}
+}
+
 /*
  * Guards against a lender whose important class no longer fits because of the lower classes of
  * borrowers. When the important classes do not fit together, each serves the same part of its own.
@@ -728,6 +760,7 @@
 	g_test_add_func("/allocator/share", test_share);
 	g_test_add_func("/allocator/sticky", test_sticky);
 	g_test_add_func("/allocator/priorities", test_priorities);
+	g_test_add_func("/allocator/nonsense", test_nonsense_demand);
 	g_test_add_func("/allocator/idle", test_idle);
 	g_test_add_func("/allocator/queue-credits", test_queue_credits);
 	g_test_add_func("/allocator/targets", test_targets);
--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -499,6 +499,38 @@
 	csim_release(sim);
 }
 
+/* Short intervals and repeated services must not make a demand larger than plausible. */
+static void test_nonsense_demand(void)
+{
+	struct csim *sim = fleet_new(10, 3000);
+	struct csim_node *reader = &sim->nodes[0];
+	peer_credit_demand demands[PEER_MAX_CREDIT_SERVICES];
+	peer_credit_report msg = {
+		.sequence = UINT64_MAX / 2,
+		.data_centre = (char[]){ "home" },
+		.demands = { G_N_ELEMENTS(demands), demands },
+	};
+	uint32_t held = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(demands); i++)
+		demands[i] =
+			(peer_credit_demand){ .service = (char[]){ CSIM_SERVICE },
+					      .openings = { [1] = UINT32_MAX, [2] = UINT32_MAX } };
+	for (int round = 0; round < 200; round++) {
+		msg.interval_ms = round % 2 ? 1 : 60000;
+		msg.sequence++;
+		exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &msg, csim_now(sim));
+		csim_run(sim, 50);
+		g_assert_cmpuint(csim_status(reader).services, ==, 1);
+	}
+	for (unsigned int i = 2; i < sim->nr; i++)
+		held += csim_held(&sim->nodes[i]);
+	g_test_message("others hold %u credits, %u of the reader", held, csim_held(reader));
+	/* Nine others with a twentieth of a slot each: at least one credit for each. */
+	g_assert_cmpuint(held + csim_held(reader), >=, 9);
+	csim_release(sim);
+}
+
 static void test_many_members(void)
 {
 	struct csim *sim = fleet_new(10, 3000);
@@ -581,6 +613,7 @@
 	g_test_add_func("/exchange/death", test_death);
 	g_test_add_func("/exchange/stop", test_stop);
 	g_test_add_func("/exchange/unknown-names", test_unknown_names);
+	g_test_add_func("/exchange/nonsense-demand", test_nonsense_demand);
 	g_test_add_func("/exchange/many-members", test_many_members);
 	g_test_add_func("/exchange/cost", test_cost);
 	g_test_add_func("/exchange/large-grant", test_large_grant);
