--- a/t/creditsim.h
+++ b/t/allocator-sim.h
@@ -4,8 +4,8 @@
  * holder's side is simplified: an opening takes an own slot by weighted round robin, then a queue
  * credit, and waits otherwise, by priority.
  */
-#ifndef CREDITSIM_H
-#define CREDITSIM_H
+#ifndef ALLOCATOR_SIM_H
+#define ALLOCATOR_SIM_H
 
 #include <glib.h>
 #include <math.h>
@@ -74,7 +74,7 @@
 	int64_t gap_ms;	 /* longest time without an answer */
 };
 
-struct creditsim {
+struct allocsim {
 	struct seeded_random random;
 	struct allocator *al;
 	struct monitor *mon;
@@ -92,7 +92,7 @@
 	uint64_t arrived, rejected;
 };
 
-static double sim_uniform(struct creditsim *sim)
+static double sim_uniform(struct allocsim *sim)
 {
 	return (random_below(&sim->random.random, 1u << 30) + 0.5) / (1u << 30);
 }
@@ -102,15 +102,15 @@
 	return (uint64_t)target + 1;
 }
 
-static struct timespec sim_now(const struct creditsim *sim)
+static struct timespec sim_now(const struct allocsim *sim)
 {
 	return ts_from_ms(1000000 + sim->now_ms);
 }
 
 /* Every fourth target has a speed of 0.55, the others 1.2. */
-static struct creditsim *creditsim_new(uint64_t seed, uint32_t nr_instances, uint32_t nr_targets)
+static struct allocsim *allocsim_new(uint64_t seed, uint32_t nr_instances, uint32_t nr_targets)
 {
-	struct creditsim *sim = g_new0(struct creditsim, 1);
+	struct allocsim *sim = g_new0(struct allocsim, 1);
 
 	sim->nr_instances = nr_instances;
 	sim->nr_targets = nr_targets;
@@ -138,7 +138,7 @@
 	g_free(grant);
 }
 
-static void creditsim_free(struct creditsim *sim)
+static void allocsim_free(struct allocsim *sim)
 {
 	for (uint32_t i = 0; i < sim->nr_instances; i++) {
 		g_queue_clear_full(&sim->inst[i].grants, sim_free_grant);
@@ -157,14 +157,14 @@
 	g_free(sim);
 }
 
-static void sim_at(const struct creditsim *sim, GPtrArray **wheel, int64_t delay_ms,
+static void sim_at(const struct allocsim *sim, GPtrArray **wheel, int64_t delay_ms,
 		   struct sim_request *req)
 {
 	g_assert_cmpint(delay_ms, <, SIM_HORIZON_MS);
 	g_ptr_array_add(wheel[(sim->now_ms + MAX(delay_ms, 1)) % SIM_HORIZON_MS], req);
 }
 
-static void sim_end_request(struct creditsim *sim, struct sim_request *req, bool served)
+static void sim_end_request(struct allocsim *sim, struct sim_request *req, bool served)
 {
 	struct sim_class *cls = &sim->classes[req->class];
 
@@ -180,7 +180,7 @@
 	g_free(req);
 }
 
-static void sim_retry(struct creditsim *sim, struct sim_request *req)
+static void sim_retry(struct allocsim *sim, struct sim_request *req)
 {
 	if (++req->tries == SIM_TRIES)
 		sim_end_request(sim, req, false);
@@ -188,7 +188,7 @@
 		sim_at(sim, sim->retries, SIM_BACKOFF_MS, req);
 }
 
-static void sim_start_work(struct creditsim *sim, uint32_t target, struct sim_request *req)
+static void sim_start_work(struct allocsim *sim, uint32_t target, struct sim_request *req)
 {
 	sim->targets[target].running++;
 	sim_at(sim, sim->ends,
@@ -196,7 +196,7 @@
 }
 
 /* The credit of the request is free again. */
-static void sim_return(struct creditsim *sim, const struct sim_request *req)
+static void sim_return(struct allocsim *sim, const struct sim_request *req)
 {
 	struct sim_instance *inst = &sim->inst[req->instance];
 
@@ -205,13 +205,13 @@
 	inst->seen[req->target].busy_ms += (uint32_t)(sim->now_ms - req->since_ms);
 }
 
-static void sim_next_count(const struct creditsim *sim, struct sim_instance *inst)
+static void sim_next_count(const struct allocsim *sim, struct sim_instance *inst)
 {
 	inst->returned[sim->now_ms / SIM_COUNT_MS % G_N_ELEMENTS(inst->returned)] = 0;
 }
 
 /* Returns false when the target rejects the request. */
-static bool sim_send(struct creditsim *sim, uint32_t target, struct sim_request *req)
+static bool sim_send(struct allocsim *sim, uint32_t target, struct sim_request *req)
 {
 	struct sim_target *tgt = &sim->targets[target];
 
@@ -258,7 +258,7 @@
 }
 
 /* Returns false when no credit is free. */
-static bool sim_place(struct creditsim *sim, struct sim_request *req)
+static bool sim_place(struct allocsim *sim, struct sim_request *req)
 {
 	struct sim_instance *inst = &sim->inst[req->instance];
 	const struct credit_entry *entry = sim_choose(inst);
@@ -277,7 +277,7 @@
 	return SIM_GOAL_MS / (class ? 4 : 2);
 }
 
-static void sim_open(struct creditsim *sim, struct sim_request *req)
+static void sim_open(struct allocsim *sim, struct sim_request *req)
 {
 	struct sim_instance *inst;
 	uint32_t ahead = 0;
@@ -300,7 +300,7 @@
 	g_queue_push_tail(&inst->waiting[req->class], req);
 }
 
-static void sim_serve_waiting(struct creditsim *sim, struct sim_instance *inst)
+static void sim_serve_waiting(struct allocsim *sim, struct sim_instance *inst)
 {
 	for (uint32_t c = 0; c < SIM_CLASSES; c++) {
 		while (inst->waiting[c].length) {
@@ -319,7 +319,7 @@
 	}
 }
 
-static void sim_finish(struct creditsim *sim, struct sim_request *req)
+static void sim_finish(struct allocsim *sim, struct sim_request *req)
 {
 	struct sim_target *tgt = &sim->targets[req->target];
 
@@ -337,7 +337,7 @@
 }
 
 /* Requests at dead targets go to others when the instance learns of the death. */
-static void sim_abandon(struct creditsim *sim, uint32_t instance)
+static void sim_abandon(struct allocsim *sim, uint32_t instance)
 {
 	for (uint32_t t = 0; t < sim->nr_targets; t++) {
 		GQueue *queue = &sim->targets[t].queue;
@@ -378,7 +378,7 @@
 	}
 }
 
-static void sim_apply_grants(struct creditsim *sim, uint32_t instance)
+static void sim_apply_grants(struct allocsim *sim, uint32_t instance)
 {
 	struct sim_instance *inst = &sim->inst[instance];
 	struct sim_grant *grant;
@@ -394,7 +394,7 @@
 }
 
 /* Observations of an instance, and the averages of its demand. */
-static void sim_report(struct creditsim *sim, uint32_t instance)
+static void sim_report(struct allocsim *sim, uint32_t instance)
 {
 	struct sim_instance *inst = &sim->inst[instance];
 	double keep = exp(-SIM_INTERVAL_MS / 1000.0);
@@ -415,7 +415,7 @@
 	}
 }
 
-static size_t sim_list_targets(struct creditsim *sim, struct alloc_target *targets)
+static size_t sim_list_targets(struct allocsim *sim, struct alloc_target *targets)
 {
 	size_t nr = 0;
 
@@ -436,7 +436,7 @@
 	return nr;
 }
 
-static void sim_round(struct creditsim *sim)
+static void sim_round(struct allocsim *sim)
 {
 	struct alloc_target targets[SIM_TARGETS];
 	struct alloc_member members[SIM_INSTANCES] = { 0 };
@@ -468,7 +468,7 @@
 	}
 }
 
-static void sim_arrivals(struct creditsim *sim)
+static void sim_arrivals(struct allocsim *sim)
 {
 	for (uint32_t c = 0; c < SIM_CLASSES; c++) {
 		while (sim->rate[c] > 0 && sim->next[c] <= (double)sim->now_ms) {
@@ -483,8 +483,8 @@
 	}
 }
 
-static void sim_run_wheel(struct creditsim *sim, GPtrArray **wheel,
-			  void (*fn)(struct creditsim *sim, struct sim_request *req))
+static void sim_run_wheel(struct allocsim *sim, GPtrArray **wheel,
+			  void (*fn)(struct allocsim *sim, struct sim_request *req))
 {
 	GPtrArray *due = wheel[sim->now_ms % SIM_HORIZON_MS];
 
@@ -494,7 +494,7 @@
 }
 
 /* Requests for each millisecond. */
-static double sim_capacity(const struct creditsim *sim)
+static double sim_capacity(const struct allocsim *sim)
 {
 	double speed = 0;
 
@@ -504,7 +504,7 @@
 }
 
 /* Loads in times the capacity. */
-static void creditsim_run(struct creditsim *sim, int64_t ms, double important, double lower)
+static void allocsim_run(struct allocsim *sim, int64_t ms, double important, double lower)
 {
 	const double loads[SIM_CLASSES] = { important, lower };
 
@@ -527,7 +527,7 @@
 	}
 }
 
-static void creditsim_count(struct creditsim *sim, bool counting)
+static void allocsim_count(struct allocsim *sim, bool counting)
 {
 	sim->counting = counting;
 	if (!counting)
@@ -541,7 +541,7 @@
 }
 
 /* Busiest target to the mean, in arrivals by speed. */
-static double creditsim_busiest(const struct creditsim *sim)
+static double allocsim_busiest(const struct allocsim *sim)
 {
 	double most = 0;
 	double sum = 0;
@@ -555,14 +555,14 @@
 	return sum > 0 ? most / (sum / sim->nr_targets) : 0;
 }
 
-static double creditsim_in_time(const struct creditsim *sim, uint32_t class)
+static double allocsim_in_time(const struct allocsim *sim, uint32_t class)
 {
 	const struct sim_class *cls = &sim->classes[class];
 
 	return cls->requests ? (double)cls->in_time / (double)cls->requests : 1;
 }
 
-static double creditsim_rejected(const struct creditsim *sim)
+static double allocsim_rejected(const struct allocsim *sim)
 {
 	return sim->arrived ? (double)sim->rejected / (double)sim->arrived : 0;
 }
--- a/t/test-allocator.c
+++ b/t/test-allocator.c
@@ -8,7 +8,7 @@
 #include <sodium.h>
 
 #include "credit/allocator.h"
-#include "creditsim.h"
+#include "t/allocator-sim.h"
 #include "timeutil.h"
 
 #define INTERVAL_MS 250
@@ -639,20 +639,20 @@
 #define BURST_MS	400
 #define BURST_IMPORTANT 0.78
 
-static void run_step(struct creditsim *sim, double important, double lower)
+static void run_step(struct allocsim *sim, double important, double lower)
 {
-	creditsim_run(sim, STEP_MS / 2, important, lower);
-	creditsim_run(sim, BURST_MS, BURST_IMPORTANT, MIN(2 * lower, 5 - BURST_IMPORTANT));
-	creditsim_run(sim, STEP_MS / 2 - BURST_MS, important, lower);
+	allocsim_run(sim, STEP_MS / 2, important, lower);
+	allocsim_run(sim, BURST_MS, BURST_IMPORTANT, MIN(2 * lower, 5 - BURST_IMPORTANT));
+	allocsim_run(sim, STEP_MS / 2 - BURST_MS, important, lower);
 }
 
-static void message_figures(const struct creditsim *sim, const char *what)
+static void message_figures(const struct allocsim *sim, const char *what)
 {
 	g_test_message("%s: %.4f of %" G_GUINT64_FORMAT " arrivals rejected; in time %.4f of "
 		       "the important class, %.4f of the lower one; no answer of the lower one "
 		       "for %" G_GINT64_FORMAT " ms",
-		       what, creditsim_rejected(sim), sim->arrived, creditsim_in_time(sim, 0),
-		       creditsim_in_time(sim, 1), sim->classes[1].gap_ms);
+		       what, allocsim_rejected(sim), sim->arrived, allocsim_in_time(sim, 0),
+		       allocsim_in_time(sim, 1), sim->classes[1].gap_ms);
 }
 
 /* Instances that have one slot each on average, and four. */
@@ -669,70 +669,70 @@
 static void test_scarcity(void)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
-		struct creditsim *sim =
-			creditsim_new(fleets[i].seed, fleets[i].nr_instances, fleets[i].nr_targets);
+		struct allocsim *sim =
+			allocsim_new(fleets[i].seed, fleets[i].nr_instances, fleets[i].nr_targets);
 
-		creditsim_run(sim, 10000, 0.3, 0.3);
-		creditsim_count(sim, true);
+		allocsim_run(sim, 10000, 0.3, 0.3);
+		allocsim_count(sim, true);
 		for (size_t step = 0; step < G_N_ELEMENTS(steps); step++)
 			run_step(sim, steps[step].important, steps[step].lower);
-		creditsim_count(sim, false);
-		creditsim_run(sim, 2000, 0.3, 0.3);
+		allocsim_count(sim, false);
+		allocsim_run(sim, 2000, 0.3, 0.3);
 		message_figures(sim, "scarcity");
-		g_assert_cmpfloat(creditsim_rejected(sim), <, 0.05);
-		g_assert_cmpfloat(creditsim_in_time(sim, 0), >=, 0.95);
+		g_assert_cmpfloat(allocsim_rejected(sim), <, 0.05);
+		g_assert_cmpfloat(allocsim_in_time(sim, 0), >=, 0.95);
 		g_assert_cmpint(sim->classes[1].gap_ms, <=, 2000);
-		creditsim_free(sim);
+		allocsim_free(sim);
 	}
 }
 
 /* The important class alone exceeds the capacity. */
 static void test_starvation(void)
 {
-	struct creditsim *sim = creditsim_new(4, 200, 100);
+	struct allocsim *sim = allocsim_new(4, 200, 100);
 
-	creditsim_run(sim, 5000, 0.3, 0.3);
-	creditsim_count(sim, true);
-	creditsim_run(sim, 20000, 1.5, 1.5);
+	allocsim_run(sim, 5000, 0.3, 0.3);
+	allocsim_count(sim, true);
+	allocsim_run(sim, 20000, 1.5, 1.5);
 	message_figures(sim, "more of the important class than fits");
-	g_assert_cmpfloat(creditsim_rejected(sim), <, 0.05);
+	g_assert_cmpfloat(allocsim_rejected(sim), <, 0.05);
 	g_assert_cmpint(sim->classes[1].gap_ms, <=, 2000);
-	creditsim_free(sim);
+	allocsim_free(sim);
 }
 
 static void test_calm(void)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
-		struct creditsim *sim =
-			creditsim_new(fleets[i].seed, fleets[i].nr_instances, fleets[i].nr_targets);
+		struct allocsim *sim =
+			allocsim_new(fleets[i].seed, fleets[i].nr_instances, fleets[i].nr_targets);
 
-		creditsim_run(sim, 10000, 0.15, 0.15);
-		creditsim_count(sim, true);
-		creditsim_run(sim, 30000, 0.15, 0.15);
+		allocsim_run(sim, 10000, 0.15, 0.15);
+		allocsim_count(sim, true);
+		allocsim_run(sim, 30000, 0.15, 0.15);
 		message_figures(sim, "calm");
-		g_test_message("busiest to mean, by speed: %.3f", creditsim_busiest(sim));
-		g_assert_cmpfloat(creditsim_busiest(sim), <=, 1.25);
-		g_assert_cmpfloat(creditsim_rejected(sim), <, 0.05);
-		creditsim_free(sim);
+		g_test_message("busiest to mean, by speed: %.3f", allocsim_busiest(sim));
+		g_assert_cmpfloat(allocsim_busiest(sim), <=, 1.25);
+		g_assert_cmpfloat(allocsim_rejected(sim), <, 0.05);
+		allocsim_free(sim);
 	}
 }
 
 static uint32_t most_arrivals_after_deaths(uint64_t seed, double load)
 {
-	struct creditsim *sim = creditsim_new(seed, 200, 100);
+	struct allocsim *sim = allocsim_new(seed, 200, 100);
 	uint32_t most = 0;
 
 	sim->same_lag = true;
-	creditsim_run(sim, 10000, load / 2, load / 2);
+	allocsim_run(sim, 10000, load / 2, load / 2);
 	/* Just before a round; its grants arrive after 200 ms. */
 	for (uint32_t t = 0; t < SIM_TARGETS; t += 2)
 		sim->targets[t].dead = true;
-	creditsim_run(sim, 200, load / 2, load / 2);
-	creditsim_count(sim, true);
-	creditsim_run(sim, 200, load / 2, load / 2);
+	allocsim_run(sim, 200, load / 2, load / 2);
+	allocsim_count(sim, true);
+	allocsim_run(sim, 200, load / 2, load / 2);
 	for (uint32_t t = 1; t < SIM_TARGETS; t += 2)
 		most = MAX(most, sim->targets[t].arrived);
-	creditsim_free(sim);
+	allocsim_free(sim);
 	return most;
 }
 
--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -4,7 +4,7 @@
  */
 #include <sodium.h>
 
-#include "t/credit-sim.h"
+#include "t/exchange-sim.h"
 
 #define TARGETS	  10
 #define SLOTS	  (2 * TARGETS)
@@ -13,62 +13,62 @@
 #define CREDITS_MAX (SLOTS * 4)
 
 /* A reader with followers in data centre "home", each with @per_s openings, after @ms. */
-static struct csim *fleet_new(uint32_t per_s, int64_t ms)
+static struct exsim *fleet_new(uint32_t per_s, int64_t ms)
 {
-	struct csim *sim = g_new(struct csim, 1);
+	struct exsim *sim = g_new(struct exsim, 1);
 
-	csim_init(sim);
-	csim_add_targets(sim, "home", TARGETS);
-	csim_add_node(sim, "home", 0, EXCHANGE_READER, per_s);
+	exsim_init(sim);
+	exsim_add_targets(sim, "home", TARGETS);
+	exsim_add_node(sim, "home", 0, EXCHANGE_READER, per_s);
 	for (unsigned int i = 0; i < FOLLOWERS; i++)
-		csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, per_s);
-	csim_run(sim, ms);
+		exsim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, per_s);
+	exsim_run(sim, ms);
 	return sim;
 }
 
 static void test_grants(void)
 {
-	struct csim *sim = fleet_new(10, 600);
-	struct csim_node *reader = &sim->nodes[0];
+	struct exsim *sim = fleet_new(10, 600);
+	struct exsim_node *reader = &sim->nodes[0];
 
 	/* Two intervals pass before the first round, so that all have reported. */
 	for (unsigned int i = 0; i < sim->nr; i++)
-		g_assert_true(csim_active(&sim->nodes[i]));
-	csim_run(sim, 3000);
-	g_assert_cmpuint(csim_status(reader).members, ==, FOLLOWERS + 1);
-	g_assert_cmpuint(csim_status(reader).services, ==, 1);
-	g_assert_cmpuint(csim_status(reader).left_out, ==, 0);
+		g_assert_true(exsim_active(&sim->nodes[i]));
+	exsim_run(sim, 3000);
+	g_assert_cmpuint(exsim_status(reader).members, ==, FOLLOWERS + 1);
+	g_assert_cmpuint(exsim_status(reader).services, ==, 1);
+	g_assert_cmpuint(exsim_status(reader).left_out, ==, 0);
 	for (int round = 0; round < 50; round++) {
-		csim_run(sim, 50);
+		exsim_run(sim, 50);
 		for (unsigned int i = 0; i < sim->nr; i++) {
-			g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
-			g_assert_cmpint(csim_status(&sim->nodes[i]).age_ms, <=, 600);
+			g_assert_cmpuint(exsim_held(&sim->nodes[i]), >, 0);
+			g_assert_cmpint(exsim_status(&sim->nodes[i]).age_ms, <=, 600);
 		}
 		/* A credit that moves is held twice until both grants have arrived. */
-		g_assert_cmpuint(csim_held_by(sim, 0, sim->nr), <=, CREDITS_MAX + SLOTS);
+		g_assert_cmpuint(exsim_held_by(sim, 0, sim->nr), <=, CREDITS_MAX + SLOTS);
 		/* At least one queue credit for each slot, rounded by the speed of each target. */
-		g_assert_cmpuint(csim_held_by(sim, 0, sim->nr), >=, 2 * SLOTS - TARGETS);
+		g_assert_cmpuint(exsim_held_by(sim, 0, sim->nr), >=, 2 * SLOTS - TARGETS);
 	}
 	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 0);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 /* Share of the samples of all instances in 10 s that have no grant in force, in thousandths. */
-static unsigned int without_grant(struct csim *sim)
+static unsigned int without_grant(struct exsim *sim)
 {
 	unsigned int nr = 0;
 
 	for (int round = 0; round < 200; round++) {
-		csim_run(sim, 50);
+		exsim_run(sim, 50);
 		for (unsigned int i = 0; i < sim->nr; i++)
-			nr += !csim_active(&sim->nodes[i]);
+			nr += !exsim_active(&sim->nodes[i]);
 	}
 	return nr * 1000 / (200 * sim->nr);
 }
 
 static void test_lost_and_late(void)
 {
-	struct csim *sim = fleet_new(10, 2000);
+	struct exsim *sim = fleet_new(10, 2000);
 	unsigned int without;
 
 	sim->loss_percent = 2;
@@ -84,164 +84,164 @@
 	g_test_message("without a grant: %u of 1000", without);
 	g_assert_cmpuint(without, <=, 20);
 	sim->loss_percent = sim->late_percent = 0;
-	csim_run(sim, 2000);
+	exsim_run(sim, 2000);
 	g_assert_cmpuint(without_grant(sim), ==, 0);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 static void test_reader_dies(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
+	struct exsim *sim = fleet_new(10, 3000);
 	int64_t died = sim->now_ms;
 
-	csim_kill(&sim->nodes[0]);
-	csim_run(sim, 1000);
-	g_assert_true(csim_active(&sim->nodes[3]));
-	csim_run(sim, 1000);
+	exsim_kill(&sim->nodes[0]);
+	exsim_run(sim, 1000);
+	g_assert_true(exsim_active(&sim->nodes[3]));
+	exsim_run(sim, 1000);
 	for (unsigned int i = 1; i < sim->nr; i++)
-		g_assert_false(csim_active(&sim->nodes[i]));
+		g_assert_false(exsim_active(&sim->nodes[i]));
 	for (unsigned int i = 1; i < sim->nr; i++) {
 		sim->nodes[i].reader = 1;
 		if (i > 1)
-			exchange_reset(sim->nodes[i].ex, csim_now(sim));
+			exchange_reset(sim->nodes[i].ex, exsim_now(sim));
 	}
-	exchange_set_role(sim->nodes[1].ex, EXCHANGE_READER, csim_now(sim));
-	csim_run(sim, 400);
-	g_assert_false(csim_active(&sim->nodes[2]));
-	csim_run(sim, 1200);
+	exchange_set_role(sim->nodes[1].ex, EXCHANGE_READER, exsim_now(sim));
+	exsim_run(sim, 400);
+	g_assert_false(exsim_active(&sim->nodes[2]));
+	exsim_run(sim, 1200);
 	for (unsigned int i = 1; i < sim->nr; i++)
-		g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
+		g_assert_cmpuint(exsim_held(&sim->nodes[i]), >, 0);
 	g_assert_cmpint(sim->now_ms - died, <, 4000);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 /* A role that neither follows nor reads ends the grants at once. */
 static void test_role_ends(void)
 {
-	struct csim *sim = fleet_new(10, 2000);
-
-	exchange_set_role(sim->nodes[2].ex, EXCHANGE_OFF, csim_now(sim));
-	g_assert_false(csim_active(&sim->nodes[2]));
-	exchange_set_role(sim->nodes[0].ex, EXCHANGE_OFF, csim_now(sim));
-	g_assert_false(csim_active(&sim->nodes[0]));
-	g_assert_cmpint(exchange_due_ms(sim->nodes[0].ex, csim_now(sim)), ==, INT64_MAX);
-	csim_release(sim);
+	struct exsim *sim = fleet_new(10, 2000);
+
+	exchange_set_role(sim->nodes[2].ex, EXCHANGE_OFF, exsim_now(sim));
+	g_assert_false(exsim_active(&sim->nodes[2]));
+	exchange_set_role(sim->nodes[0].ex, EXCHANGE_OFF, exsim_now(sim));
+	g_assert_false(exsim_active(&sim->nodes[0]));
+	g_assert_cmpint(exchange_due_ms(sim->nodes[0].ex, exsim_now(sim)), ==, INT64_MAX);
+	exsim_release(sim);
 }
 
 static void test_two_readers(void)
 {
-	struct csim *sim = fleet_new(10, 2000);
+	struct exsim *sim = fleet_new(10, 2000);
 
 	for (unsigned int i = 5; i < sim->nr; i++)
 		sim->nodes[i].reader = 5;
-	exchange_set_role(sim->nodes[5].ex, EXCHANGE_READER, csim_now(sim));
+	exchange_set_role(sim->nodes[5].ex, EXCHANGE_READER, exsim_now(sim));
 	for (unsigned int i = 6; i < sim->nr; i++)
-		exchange_reset(sim->nodes[i].ex, csim_now(sim));
+		exchange_reset(sim->nodes[i].ex, exsim_now(sim));
 	for (int round = 0; round < 100; round++) {
-		csim_run(sim, 50);
-		g_assert_cmpuint(csim_held_by(sim, 0, 5), <=, CREDITS_MAX + SLOTS);
-		g_assert_cmpuint(csim_held_by(sim, 5, sim->nr), <=, CREDITS_MAX + SLOTS);
+		exsim_run(sim, 50);
+		g_assert_cmpuint(exsim_held_by(sim, 0, 5), <=, CREDITS_MAX + SLOTS);
+		g_assert_cmpuint(exsim_held_by(sim, 5, sim->nr), <=, CREDITS_MAX + SLOTS);
 	}
-	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, 5);
-	g_assert_cmpuint(csim_status(&sim->nodes[5]).members, ==, 5);
-	csim_release(sim);
+	g_assert_cmpuint(exsim_status(&sim->nodes[0]).members, ==, 5);
+	g_assert_cmpuint(exsim_status(&sim->nodes[5]).members, ==, 5);
+	exsim_release(sim);
 }
 
 static void test_follower_dies(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
+	struct exsim *sim = fleet_new(10, 3000);
 
 	for (unsigned int i = 6; i < sim->nr; i++)
-		csim_kill(&sim->nodes[i]);
-	csim_run(sim, 1000);
-	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
-	csim_run(sim, 1000);
-	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS - 3);
+		exsim_kill(&sim->nodes[i]);
+	exsim_run(sim, 1000);
+	g_assert_cmpuint(exsim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
+	exsim_run(sim, 1000);
+	g_assert_cmpuint(exsim_status(&sim->nodes[0]).members, ==, FOLLOWERS - 3);
 	/* Without the credits of the dead four, about 24 would be held; see test_grants(). */
-	g_assert_cmpuint(csim_held_by(sim, 0, 6), >=, 2 * SLOTS - TARGETS);
-	csim_release(sim);
+	g_assert_cmpuint(exsim_held_by(sim, 0, 6), >=, 2 * SLOTS - TARGETS);
+	exsim_release(sim);
 }
 
 static void test_paused_follower(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *node = &sim->nodes[4];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *node = &sim->nodes[4];
 
 	node->paused = true;
-	csim_run(sim, 5000);
-	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS);
+	exsim_run(sim, 5000);
+	g_assert_cmpuint(exsim_status(&sim->nodes[0]).members, ==, FOLLOWERS);
 	node->paused = false;
-	exchange_reset(node->ex, csim_now(sim));
+	exchange_reset(node->ex, exsim_now(sim));
 	/* The grants of the pause are in the socket; the latest is 4 s old. */
-	csim_run(sim, 100);
-	g_assert_false(csim_active(node));
-	csim_run(sim, 900);
-	g_assert_true(csim_active(node));
-	g_assert_cmpuint(csim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
-	csim_release(sim);
+	exsim_run(sim, 100);
+	g_assert_false(exsim_active(node));
+	exsim_run(sim, 900);
+	g_assert_true(exsim_active(node));
+	g_assert_cmpuint(exsim_status(&sim->nodes[0]).members, ==, FOLLOWERS + 1);
+	exsim_release(sim);
 }
 
 static void test_paused_reader(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *reader = &sim->nodes[0];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *reader = &sim->nodes[0];
 
 	reader->paused = true;
-	csim_run(sim, 3000);
-	g_assert_false(csim_active(&sim->nodes[1]));
+	exsim_run(sim, 3000);
+	g_assert_false(exsim_active(&sim->nodes[1]));
 	reader->paused = false;
-	exchange_reset(reader->ex, csim_now(sim));
-	g_assert_false(csim_active(reader));
-	csim_run(sim, 100);
+	exchange_reset(reader->ex, exsim_now(sim));
+	g_assert_false(exsim_active(reader));
+	exsim_run(sim, 100);
 	/* Queued reports do not count, and there is no allocation from a part of the members. */
-	g_assert_cmpuint(csim_status(reader).members, ==, 0);
-	csim_run(sim, 1400);
+	g_assert_cmpuint(exsim_status(reader).members, ==, 0);
+	exsim_run(sim, 1400);
 	for (unsigned int i = 0; i < sim->nr; i++)
-		g_assert_cmpuint(csim_held(&sim->nodes[i]), >, 0);
-	csim_release(sim);
+		g_assert_cmpuint(exsim_held(&sim->nodes[i]), >, 0);
+	exsim_release(sim);
 }
 
 static void test_death(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *node = &sim->nodes[4];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *node = &sim->nodes[4];
 	struct reg_target *tgt = registry_by_id(node->cs.registry, "home-3");
 	int64_t found;
 
-	csim_target(sim, "home-3")->dead = true;
-	csim_run(sim, 100);
+	exsim_target(sim, "home-3")->dead = true;
+	exsim_run(sim, 100);
 	tgt->trust = TRUST_DEAD;
 	credit_note_dead(node->cs.credit, tgt);
 	found = sim->now_ms;
-	csim_run(sim, 70);
+	exsim_run(sim, 70);
 	g_assert_cmpint(node->report_sent_ms, >, found);
 	g_assert_cmpint(node->report_sent_ms - found, <=, 60);
-	csim_run(sim, CSIM_INTERVAL_MS + 2 * CSIM_LINK_MS);
+	exsim_run(sim, EXSIM_INTERVAL_MS + 2 * EXSIM_LINK_MS);
 	for (unsigned int i = 1; i < sim->nr; i++)
 		g_assert_false(g_hash_table_contains(sim->nodes[i].granted, &tgt->digest));
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 static void test_stop(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *node = &sim->nodes[4];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *node = &sim->nodes[4];
 	uint64_t sent;
 
 	exchange_stop(node->ex);
 	sent = node->cs.counters.credit_reports_out;
-	csim_run(sim, 1000);
+	exsim_run(sim, 1000);
 	g_assert_cmpuint(node->cs.counters.credit_reports_out, ==, sent);
 	/* Its credits are kept for it until it is dropped, so it may use them. */
-	g_assert_true(csim_active(node));
-	csim_run(sim, 2500);
-	g_assert_false(csim_active(node));
+	g_assert_true(exsim_active(node));
+	exsim_run(sim, 2500);
+	g_assert_false(exsim_active(node));
 	exchange_stop(sim->nodes[0].ex);
 	sent = sim->nodes[0].cs.counters.credit_grants_out;
-	csim_run(sim, 2000);
+	exsim_run(sim, 2000);
 	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_grants_out, ==, sent);
-	g_assert_false(csim_active(&sim->nodes[1]));
-	csim_release(sim);
+	g_assert_false(exsim_active(&sim->nodes[1]));
+	exsim_release(sim);
 }
 
 struct part_case {
@@ -262,35 +262,35 @@
 static void test_part(gconstpointer data)
 {
 	const struct part_case *c = data;
-	struct csim *sim = g_new(struct csim, 1);
-	struct csim_node *reader;
+	struct exsim *sim = g_new(struct exsim, 1);
+	struct exsim_node *reader;
 
-	csim_init(sim);
+	exsim_init(sim);
 	sim->no_goal = c->no_goal;
-	csim_add_targets(sim, "home", TARGETS);
+	exsim_add_targets(sim, "home", TARGETS);
 	for (unsigned int i = 0; i < (c->nr ? c->nr : 10); i++) {
-		reader = csim_add_node(sim, "home", 0, i ? EXCHANGE_FOLLOWER : EXCHANGE_READER,
-				       c->per_s);
+		reader = exsim_add_node(sim, "home", 0, i ? EXCHANGE_FOLLOWER : EXCHANGE_READER,
+					c->per_s);
 		reader->reused_per_s = c->reused_per_s;
 	}
 	reader = &sim->nodes[0];
-	csim_run(sim, 5000);
-	g_assert_cmpuint(csim_status(reader).services, ==, c->takes_part);
+	exsim_run(sim, 5000);
+	g_assert_cmpuint(exsim_status(reader).services, ==, c->takes_part);
 	for (unsigned int i = 0; i < sim->nr; i++)
-		g_assert_true(csim_active(&sim->nodes[i]) == c->takes_part);
+		g_assert_true(exsim_active(&sim->nodes[i]) == c->takes_part);
 	if (!c->takes_part)
 		g_assert_cmpuint(reader->cs.counters.credit_grants_out, ==, 0);
 	/* The end of taking part ends the grants, and then there are no more of them. */
 	for (unsigned int i = 0; i < sim->nr; i++)
 		sim->nodes[i].per_s = 0;
-	csim_run(sim, 3000);
+	exsim_run(sim, 3000);
 	for (unsigned int i = 0; i < sim->nr; i++)
-		g_assert_false(csim_active(&sim->nodes[i]));
-	csim_run(sim, 2000);
+		g_assert_false(exsim_active(&sim->nodes[i]));
+	exsim_run(sim, 2000);
 	reader->bytes_out = 0;
-	csim_run(sim, 2000);
+	exsim_run(sim, 2000);
 	g_assert_cmpuint(reader->bytes_out, ==, 0);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 /* Changes to a valid message that must make it ineffective. */
@@ -418,60 +418,60 @@
 static void test_spoiled_report(gconstpointer data)
 {
 	const struct spoil_case *c = data;
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *reader = &sim->nodes[0];
-	struct exchange_status before = csim_status(reader);
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *reader = &sim->nodes[0];
+	struct exchange_status before = exsim_status(reader);
 	uint64_t in;
 	peer_msg msg, copy;
 
-	csim_run(sim, 20);
+	exsim_run(sim, 20);
 	in = reader->cs.counters.credit_reports_in;
-	csim_decode(sim->nodes[1].last_report, &msg, &copy);
+	exsim_decode(sim->nodes[1].last_report, &msg, &copy);
 	spoil_report(&copy.peer_msg_u.credit_report, c->what);
-	exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &copy.peer_msg_u.credit_report,
-				csim_now(sim));
+	exchange_receive_report(reader->ex, EXSIM_SELF_IP + 1, &copy.peer_msg_u.credit_report,
+				exsim_now(sim));
 	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, !c->accepted);
 	g_assert_cmpuint(reader->cs.counters.credit_reports_in, ==, in + c->accepted);
 	/* Nor does it add a member, whoever sends it. */
 	if (!c->accepted && c->what != SPOIL_REPEATED && c->what != SPOIL_SEQUENCE_BACK) {
-		exchange_receive_report(reader->ex, CSIM_SELF_IP + 100,
-					&copy.peer_msg_u.credit_report, csim_now(sim));
-		g_assert_cmpuint(csim_status(reader).members, ==, before.members);
+		exchange_receive_report(reader->ex, EXSIM_SELF_IP + 100,
+					&copy.peer_msg_u.credit_report, exsim_now(sim));
+		g_assert_cmpuint(exsim_status(reader).members, ==, before.members);
 		g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 2);
 	}
 	peer_msg_release(&msg);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 static void test_spoiled_grant(gconstpointer data)
 {
 	const struct spoil_case *c = data;
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *node = &sim->nodes[1];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *node = &sim->nodes[1];
 	struct exchange_status before;
 	peer_msg msg, copy;
 
-	csim_run(sim, 20);
-	before = csim_status(node);
-	csim_decode(node->last_grant, &msg, &copy);
+	exsim_run(sim, 20);
+	before = exsim_status(node);
+	exsim_decode(node->last_grant, &msg, &copy);
 	spoil_grant(&copy.peer_msg_u.credit_grant, c->what);
-	exchange_receive_grant(node->ex, CSIM_SELF_IP, &copy.peer_msg_u.credit_grant,
-			       csim_now(sim));
+	exchange_receive_grant(node->ex, EXSIM_SELF_IP, &copy.peer_msg_u.credit_grant,
+			       exsim_now(sim));
 	g_assert_cmpuint(node->cs.counters.credit_dropped, ==, !c->accepted);
-	g_assert_cmpuint(csim_held(node), ==, before.held);
+	g_assert_cmpuint(exsim_held(node), ==, before.held);
 	if (!c->accepted)
-		g_assert_cmpint(csim_status(node).age_ms, ==, before.age_ms);
+		g_assert_cmpint(exsim_status(node).age_ms, ==, before.age_ms);
 	else
-		g_assert_cmpint(csim_status(node).age_ms, ==, 0);
+		g_assert_cmpint(exsim_status(node).age_ms, ==, 0);
 	peer_msg_release(&msg);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 /* Unknown services and targets have no effect, and nothing grows with their number. */
 static void test_unknown_names(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *reader = &sim->nodes[0];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *reader = &sim->nodes[0];
 	guint symbols = reader->cs.symbols.names->len;
 	peer_credit_observation obs = { .completed_rejected = 5 << 16, .flags = PEER_CREDIT_DEAD };
 	char name[32];
@@ -487,23 +487,23 @@
 		g_snprintf(name, sizeof(name), "unknown-%u", i);
 		obs.target = i;
 		msg.sequence = UINT64_MAX / 2 + i;
-		exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &msg, csim_now(sim));
+		exchange_receive_report(reader->ex, EXSIM_SELF_IP + 1, &msg, exsim_now(sim));
 	}
-	g_strlcpy(name, CSIM_SERVICE, sizeof(name));
+	g_strlcpy(name, EXSIM_SERVICE, sizeof(name));
 	msg.sequence++;
-	exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &msg, csim_now(sim));
+	exchange_receive_report(reader->ex, EXSIM_SELF_IP + 1, &msg, exsim_now(sim));
 	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 0);
 	g_assert_cmpuint(reader->cs.symbols.names->len, ==, symbols);
-	csim_run(sim, 300);
-	g_assert_cmpuint(csim_status(reader).services, ==, 1);
-	csim_release(sim);
+	exsim_run(sim, 300);
+	g_assert_cmpuint(exsim_status(reader).services, ==, 1);
+	exsim_release(sim);
 }
 
 /* Short intervals and repeated services must not make a demand larger than plausible. */
 static void test_nonsense_demand(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *reader = &sim->nodes[0];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *reader = &sim->nodes[0];
 	peer_credit_demand demands[PEER_MAX_CREDIT_SERVICES];
 	peer_credit_report msg = {
 		.sequence = UINT64_MAX / 2,
@@ -514,87 +514,87 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(demands); i++)
 		demands[i] =
-			(peer_credit_demand){ .service = (char[]){ CSIM_SERVICE },
+			(peer_credit_demand){ .service = (char[]){ EXSIM_SERVICE },
 					      .openings = { [1] = UINT32_MAX, [2] = UINT32_MAX } };
 	for (int round = 0; round < 200; round++) {
 		msg.interval_ms = round % 2 ? 1 : 60000;
 		msg.sequence++;
-		exchange_receive_report(reader->ex, CSIM_SELF_IP + 1, &msg, csim_now(sim));
-		csim_run(sim, 50);
-		g_assert_cmpuint(csim_status(reader).services, ==, 1);
+		exchange_receive_report(reader->ex, EXSIM_SELF_IP + 1, &msg, exsim_now(sim));
+		exsim_run(sim, 50);
+		g_assert_cmpuint(exsim_status(reader).services, ==, 1);
 	}
 	for (unsigned int i = 2; i < sim->nr; i++)
-		held += csim_held(&sim->nodes[i]);
-	g_test_message("others hold %u credits, %u of the reader", held, csim_held(reader));
+		held += exsim_held(&sim->nodes[i]);
+	g_test_message("others hold %u credits, %u of the reader", held, exsim_held(reader));
 	/* Nine others with a twentieth of a slot each: at least one credit for each. */
-	g_assert_cmpuint(held + csim_held(reader), >=, 9);
-	csim_release(sim);
+	g_assert_cmpuint(held + exsim_held(reader), >=, 9);
+	exsim_release(sim);
 }
 
 static void test_many_members(void)
 {
-	struct csim *sim = fleet_new(10, 3000);
-	struct csim_node *reader = &sim->nodes[0];
+	struct exsim *sim = fleet_new(10, 3000);
+	struct exsim_node *reader = &sim->nodes[0];
 	peer_credit_report msg = { .sequence = 1, .interval_ms = 250 };
 
 	msg.data_centre = (char[]){ "home" };
 	for (unsigned int i = 0; i < 600; i++)
-		exchange_receive_report(reader->ex, 0x0b000000u + i, &msg, csim_now(sim));
-	g_assert_cmpuint(csim_status(reader).members, ==, 512);
+		exchange_receive_report(reader->ex, 0x0b000000u + i, &msg, exsim_now(sim));
+	g_assert_cmpuint(exsim_status(reader).members, ==, 512);
 	g_assert_cmpuint(reader->cs.counters.credit_dropped, ==, 600 + FOLLOWERS + 1 - 512);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 /* A whole fleet's messages at the largest planned size of a data centre, with a margin. */
 static void test_cost(void)
 {
-	struct csim *sim = g_new(struct csim, 1);
-	struct csim_node *reader;
+	struct exsim *sim = g_new(struct exsim, 1);
+	struct exsim_node *reader;
 	uint64_t sent;
 	gsize largest_report = 0;
 	const int64_t ms = 5000;
 
-	csim_init(sim);
-	csim_add_targets(sim, "home", 400);
-	csim_add_node(sim, "home", 0, EXCHANGE_READER, 60);
+	exsim_init(sim);
+	exsim_add_targets(sim, "home", 400);
+	exsim_add_node(sim, "home", 0, EXCHANGE_READER, 60);
 	for (unsigned int i = 0; i < 100; i++)
-		csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 60);
-	csim_run(sim, 3000);
+		exsim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 60);
+	exsim_run(sim, 3000);
 	reader = &sim->nodes[0];
 	reader->bytes_out = 0;
 	sent = reader->cs.counters.credit_grants_out;
-	csim_run(sim, ms);
+	exsim_run(sim, ms);
 	sent = reader->cs.counters.credit_grants_out - sent;
 	for (unsigned int i = 1; i < sim->nr; i++)
 		largest_report = MAX(largest_report, sim->nodes[i].largest);
 	g_print("# %llu grants in %lld ms of %llu bytes on average, the largest %u; largest report "
 		"%zu; the reader sends %llu bytes a second\n",
 		(unsigned long long)sent, (long long)ms,
-		(unsigned long long)(reader->bytes_out / sent - CSIM_OVERHEAD_BYTES),
+		(unsigned long long)(reader->bytes_out / sent - EXSIM_OVERHEAD_BYTES),
 		reader->largest, largest_report,
 		(unsigned long long)(reader->bytes_out * 1000 / ms));
 	g_assert_cmpuint(sent, >, 100 * 2 * (ms / 1000) - 100);
 	g_assert_cmpuint(reader->bytes_out * 1000 / ms, <, 300000);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 /* Grants are cut at the size of a datagram, and reports are continued in further messages. */
 static void test_large_grant(void)
 {
-	struct csim *sim = g_new(struct csim, 1);
+	struct exsim *sim = g_new(struct exsim, 1);
 
-	csim_init(sim);
-	csim_add_targets(sim, "home", 300);
-	csim_add_node(sim, "home", 0, EXCHANGE_READER, 1);
-	csim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 900);
-	csim_run(sim, 3000);
+	exsim_init(sim);
+	exsim_add_targets(sim, "home", 300);
+	exsim_add_node(sim, "home", 0, EXCHANGE_READER, 1);
+	exsim_add_node(sim, "home", 0, EXCHANGE_FOLLOWER, 900);
+	exsim_run(sim, 3000);
 	g_assert_cmpuint(sim->nodes[0].largest, >, VIEW_MAX_MESSAGE_BYTES - 32);
 	g_assert_cmpuint(g_hash_table_size(sim->nodes[1].granted), >, 70);
 	g_assert_cmpuint(sim->nodes[1].largest, >, VIEW_MAX_MESSAGE_BYTES - 32);
-	g_assert_cmpuint(sim->nodes[1].cs.counters.credit_reports_out, >, 3000 / CSIM_INTERVAL_MS);
-	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_reports_in, >, 3000 / CSIM_INTERVAL_MS);
+	g_assert_cmpuint(sim->nodes[1].cs.counters.credit_reports_out, >, 3000 / EXSIM_INTERVAL_MS);
+	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_reports_in, >, 3000 / EXSIM_INTERVAL_MS);
 	g_assert_cmpuint(sim->nodes[0].cs.counters.credit_dropped, ==, 0);
-	csim_release(sim);
+	exsim_release(sim);
 }
 
 int main(int argc, char **argv)
