--- a/credit/allocator.c
+++ b/credit/allocator.c
@@ -13,7 +13,7 @@
 /*
  * By how many credits another member's deficit must be larger for a credit to move at the end of
  * its tenure. A credit that moves under scarcity is in use twice while grants are old: in the
- * simulation of t/test-allocator.c, 0.901 of the important class were in time without a margin,
+ * simulation of t/allocator-sim.h, 0.901 of the important class were in time without a margin,
  * 0.948 with one of 1.5 and 0.963 with 3. Mean deficits then differ by (3 + 1) / (1 + PAST_WEIGHT /
  * (1 - PAST_DECAY)), one credit.
  */
