--- a/t/exchange-sim.h
+++ b/t/exchange-sim.h
@@ -74,7 +74,7 @@
 struct exsim {
 	struct exsim_node nodes[EXSIM_MAX_NODES];
 	unsigned int nr;
-	struct exsim_target targets[512];
+	struct exsim_target targets[1200];
 	unsigned int nr_targets;
 	struct seeded_random random;
 	int64_t now_ms;
--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -597,6 +597,74 @@
 	exsim_release(sim);
 }
 
+static void count_grant(struct exchange_out *out, uint32_t id, const peer_msg *msg)
+{
+	GByteArray *encoded = g_byte_array_new();
+
+	(void)id;
+	g_assert_cmpint(peer_msg_encode(msg, encoded), ==, 0);
+	((struct exsim_node *)out)->bytes_out += encoded->len + EXSIM_OVERHEAD_BYTES;
+	g_byte_array_unref(encoded);
+}
+
+/* Sends the reader a report of an instance with 15 openings at targets of its own. */
+static void report_as(struct exsim *sim, uint32_t member, uint64_t sequence)
+{
+	peer_credit_observation obs[15];
+	peer_credit_demand demand = { .service = (char[]){ EXSIM_SERVICE }, .openings = { 0, 15 } };
+	peer_credit_report msg = {
+		.sequence = sequence,
+		.interval_ms = EXSIM_INTERVAL_MS,
+		.data_centre = (char[]){ "home" },
+		.demands = { 1, &demand },
+		.observations = { G_N_ELEMENTS(obs), obs },
+	};
+	struct exsim_node *reader = &sim->nodes[0];
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(obs); i++) {
+		const char *id = sim->targets[(member * 15 + i) % sim->nr_targets].id;
+
+		obs[i] = (peer_credit_observation){
+			.target = registry_by_id(reader->cs.registry, id)->digest,
+			.completed_rejected = 1u << 16,
+			.busy_ms = 50,
+		};
+	}
+	exchange_receive_report(reader->ex, EXSIM_SELF_IP + member, &msg, exsim_now(sim));
+}
+
+/* A round must not hold up the loop of the largest reader for longer than 5 ms. */
+static void test_round_time(void)
+{
+	struct exchange_out_ops ops = exsim_out_ops;
+	struct exsim *sim = g_new(struct exsim, 1);
+	struct exsim_node *reader;
+	double least_ms = 1000;
+
+	exsim_init(sim);
+	exsim_add_targets(sim, "home", 1200);
+	reader = exsim_add_node(sim, "home", 0, EXCHANGE_READER, 60);
+	ops.grant = count_grant;
+	reader->out.ops = &ops;
+	for (uint64_t round = 1; round <= 20; round++) {
+		clock_t start;
+
+		for (uint32_t member = 1; member < 467; member++)
+			report_as(sim, member, round);
+		sim->now_ms += EXSIM_INTERVAL_MS;
+		start = clock();
+		exchange_timer(reader->ex, exsim_now(sim));
+		if (round > 10)
+			least_ms = MIN(least_ms, (double)(clock() - start) * 1000 / CLOCKS_PER_SEC);
+	}
+	g_assert_cmpuint(exsim_status(reader).members, ==, 467);
+	g_test_message("a round of 467 members and 1,200 targets takes %.2f ms; %" G_GUINT64_FORMAT
+		       " bytes sent",
+		       least_ms, reader->bytes_out);
+	g_assert_cmpfloat(least_ms, <=, 5);
+	exsim_release(sim);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -617,6 +685,7 @@
 	g_test_add_func("/exchange/many-members", test_many_members);
 	g_test_add_func("/exchange/cost", test_cost);
 	g_test_add_func("/exchange/large-grant", test_large_grant);
+	g_test_add_func("/exchange/round-time", test_round_time);
 #define ADD_CASES(prefix, cases, fn)                                                               \
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                                         \
 		char *path = g_strconcat("/exchange/" prefix "/", (cases)[i].name, NULL);          \
