credit: don't encode each grant twice

A grant was encoded to find out whether it differs from the one before. Hash its parts instead. A round of 467 members and 1,200 targets takes 2.9 ms instead of 3.6 to 3.7 in test-exchange /exchange/round-time, which encodes each grant once, and sends the same number of bytes.

--- a/credit/exchange-reader.c
+++ b/credit/exchange-reader.c
@@ -205,15 +205,23 @@
 	write_entries(ex, wr, member, numbers, false);
 }
 
-static uint64_t grant_hash(const peer_msg *msg)
+/* Hashes what the grant says. Encoding it for this took a fifth of the time of a round. */
+static uint64_t grant_hash(const peer_credit_grant *grant)
 {
-	GByteArray *bytes = g_byte_array_new();
-	uint64_t hash = 0;
+	const u_int counts[] = { grant->flags, grant->services.services_len,
+				 grant->entries.entries_len, grant->lent.lent_len };
+	uint64_t hash = XXH3_64bits(counts, sizeof(counts));
 
-	if (!peer_msg_encode(msg, bytes))
-		hash = XXH3_64bits(bytes->data, bytes->len);
-	g_byte_array_unref(bytes);
-	return hash;
+	G_STATIC_ASSERT(sizeof(peer_credit_entry) == 16); /* without padding */
+	for (u_int i = 0; i < grant->services.services_len; i++) {
+		const char *name = grant->services.services_val[i];
+
+		hash = XXH3_64bits_withSeed(name, strlen(name) + 1, hash);
+	}
+	hash = XXH3_64bits_withSeed(grant->entries.entries_val,
+				    grant->entries.entries_len * sizeof(peer_credit_entry), hash);
+	return XXH3_64bits_withSeed(grant->lent.lent_val,
+				    grant->lent.lent_len * sizeof(peer_credit_entry), hash);
 }
 
 /*
@@ -227,7 +235,7 @@
 	uint64_t hash;
 
 	write_grant(ex, wr, member);
-	hash = grant_hash(&wr->msg);
+	hash = grant_hash(grant);
 	if (grant->services.services_len)
 		member->credits_sent = now;
 	else if (ts_diff_ms(now, member->credits_sent) > CREDIT_GRANT_LIFE_MS)
