credit: forget a reader's sequence number with the role of a follower

A reader that restarts after its clock was set back, or when the 32-bit incarnation wraps around, begins with lower sequence numbers. Followers that join it again dropped its grants as outdated, for as long as the clock had been ahead. Replays stay excluded by the seal of the channel, whose key is another one for each start.

test-exchange /exchange/reader-clock-back fails before and passes now.

--- a/credit/exchange.c
+++ b/credit/exchange.c
@@ -95,6 +95,8 @@
 	if (ex->role == EXCHANGE_READER)
 		ex_reader_end(ex);
 	ex->role = role;
+	/* A reader that has restarted may begin with lower numbers: they depend on its clock. */
+	ex->reader_sequence = 0;
 	begin_rounds(ex, now);
 	if (role == EXCHANGE_READER)
 		ex_reader_start(ex, now);
--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -128,6 +128,29 @@
 	exsim_release(sim);
 }
 
+/* A reader that has restarted after its clock was set back begins with lower sequence numbers. */
+static void test_reader_clock_back(void)
+{
+	struct exsim *sim = fleet_new(10, 2000);
+	struct exsim_node *node = &sim->nodes[1];
+	peer_msg msg, copy;
+	peer_credit_grant *grant = &copy.peer_msg_u.credit_grant;
+
+	exsim_decode(node->last_grant, &msg, &copy);
+	exsim_kill(&sim->nodes[0]);
+	/* Its key is another one, so that the follower loses it and joins again. */
+	exchange_set_role(node->ex, EXCHANGE_OFF, exsim_now(sim));
+	exsim_run(sim, 1000);
+	exchange_set_role(node->ex, EXCHANGE_FOLLOWER, exsim_now(sim));
+	grant->sequence = 5;
+	exchange_receive_grant(node->ex, EXSIM_SELF_IP, grant, exsim_now(sim));
+	g_assert_true(exsim_active(node));
+	exchange_receive_grant(node->ex, EXSIM_SELF_IP, grant, exsim_now(sim));
+	g_assert_cmpuint(node->cs.counters.credit_dropped, ==, 1);
+	peer_msg_release(&msg);
+	exsim_release(sim);
+}
+
 static void test_two_readers(void)
 {
 	struct exsim *sim = fleet_new(10, 2000);
@@ -674,6 +697,7 @@
 	g_test_add_func("/exchange/lost-and-late", test_lost_and_late);
 	g_test_add_func("/exchange/reader-dies", test_reader_dies);
 	g_test_add_func("/exchange/role-ends", test_role_ends);
+	g_test_add_func("/exchange/reader-clock-back", test_reader_clock_back);
 	g_test_add_func("/exchange/two-readers", test_two_readers);
 	g_test_add_func("/exchange/follower-dies", test_follower_dies);
 	g_test_add_func("/exchange/paused-follower", test_paused_follower);
