test-exchange: repair the test of nonsense demand

Its service name was out of scope, so that the reports named an unknown service and the test passed without the limit. It also asserted a sum that was not derived.

--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -533,11 +533,12 @@
 		.data_centre = (char[]){ "home" },
 		.demands = { G_N_ELEMENTS(demands), demands },
 	};
+	char name[] = EXSIM_SERVICE;
 	uint32_t held = 0;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(demands); i++)
 		demands[i] =
-			(peer_credit_demand){ .service = (char[]){ EXSIM_SERVICE },
+			(peer_credit_demand){ .service = name,
 					      .openings = { [1] = UINT32_MAX, [2] = UINT32_MAX } };
 	for (int round = 0; round < 200; round++) {
 		msg.interval_ms = round % 2 ? 1 : 60000;
@@ -545,12 +546,11 @@
 		exchange_receive_report(reader->ex, EXSIM_SELF_IP + 1, &msg, exsim_now(sim));
 		exsim_run(sim, 50);
 		g_assert_cmpuint(exsim_status(reader).services, ==, 1);
+		if (round >= 100)
+			held += exsim_held_by(sim, 0, 1) + exsim_held_by(sim, 2, sim->nr);
 	}
-	for (unsigned int i = 2; i < sim->nr; i++)
-		held += exsim_held(&sim->nodes[i]);
-	g_test_message("others hold %u credits, %u of the reader", held, exsim_held(reader));
-	/* Nine others with a twentieth of a slot each: at least one credit for each. */
-	g_assert_cmpuint(held + exsim_held(reader), >=, 9);
+	g_test_message("the others hold %.1f credits on average", held / 100.0);
+	g_assert_cmpuint(held, >=, 100 * 4);
 	exsim_release(sim);
 }
 
