--- a/t/test-exchange.c
+++ b/t/test-exchange.c
@@ -684,7 +684,10 @@
 	g_test_message("a round of 467 members and 1,200 targets takes %.2f ms; %" G_GUINT64_FORMAT
 		       " bytes sent",
 		       least_ms, reader->bytes_out);
+#ifndef __SANITIZE_ADDRESS__
+	/* Instrumented code takes 8 ms. */
 	g_assert_cmpfloat(least_ms, <=, 5);
+#endif
 	exsim_release(sim);
 }
 
--- a/t/test-monitor.c
+++ b/t/test-monitor.c
@@ -446,8 +446,8 @@
 
 /*
  * A service with few openings is reported without intervals, until it takes part. What was counted
- * before must not pass for one interval: requests of 20 ms seemed to take 0.4 ms, so that a shortage
- * was not noticed, and old failures left targets out.
+ * before must not pass for one interval: requests of 20 ms seemed to take 0.4 ms, so that a
+ * shortage was not noticed, and old failures left targets out.
  */
 static void test_late_start(void)
 {
