credit: limit the demand that a borrower counts with

A reader that stated a demand of 60,000 slots got 33 of a lender's 40, and the lender's important class, which needs 20, kept 7.

Count at most twice the slots of both data centres; it then keeps 9 at least, as if both were equally short.

test-allocator /allocator/lender-keeps-important has a case more, which fails before and passes now.

--- a/credit/shares.c
+++ b/credit/shares.c
@@ -11,7 +11,7 @@
 #define LEND_RATIO 1.1
 /* With 0.25, five lenders swung by 5 of 32 slots at one of six loads. */
 #define LEND_STEP 0.15
-/* Demand of one member that counts, in times all slots. */
+/* Demand of one member or borrower that counts, in times all slots. */
 #define DEMAND_MAX 2
 /* Sums of the excess load of targets cover about 12 s, at four rounds a second. */
 #define EXCESS_DECAY 0.98
@@ -111,6 +111,21 @@
 	return MAX(capacity - important / MAX(sum_important / sum_capacity, USABLE_SHARE), 0);
 }
 
+/*
+ * Limits what borrowers state to twice the slots of both data centres: a nonsensical demand must
+ * not take all slots.
+ */
+static void limit_borrowers(struct allocator *al, double capacity)
+{
+	for (size_t i = 0; i < al->borrowers->len; i++) {
+		struct holder *holder = al->borrowers->pdata[i];
+		double most = (capacity + holder->capacity) * DEMAND_MAX;
+
+		holder->demand = MIN(holder->demand, most);
+		holder->important = MIN(holder->important, most);
+	}
+}
+
 /*
  * Lends to borrowers so that demand and capacity come to the same ratio here and there, as far as
  * theirs is clearly higher. Returns the slots that are lent.
@@ -126,6 +141,7 @@
 	double most;
 	double level;
 
+	limit_borrowers(al, capacity);
 	for (size_t i = 0; i < al->borrowers->len; i++) {
 		struct holder *holder = al->borrowers->pdata[i];
 
--- a/t/test-allocator.c
+++ b/t/test-allocator.c
@@ -480,6 +480,8 @@
 		/* Lower classes alone, and important ones that exceed all slots alike. */
 		{ 0, 60, 180000, 0, 20, 18 },
 		{ 60, 0, 180000, 180000, 20, 18 },
+		/* Nonsense counts as twice the slots of both. */
+		{ 20, 0, 60000000, 60000000, 8, 30 },
 	};
 
 	for (size_t c = 0; c < G_N_ELEMENTS(cases); c++) {
@@ -493,7 +495,7 @@
 			fx.members[m].openings_milli_per_s[2] = demand_milli(cases[c].lower / 4);
 		}
 		fx.members[4].borrower = true;
-		fx.members[4].wanted_milli = 400000;
+		fx.members[4].wanted_milli = MAX(cases[c].demand, 400000u);
 		fx.members[4].demand_milli = cases[c].demand;
 		fx.members[4].important_milli = cases[c].demand_important;
 		fx.members[4].capacity_milli = 40000;
