store: give states of the platform's store a type of their own

Revisions of the store are ordered only within one era: a store that is restored from an older copy assigns them again. storeversion.h orders states by era, then revision; the registry, the control state, pages, listings and entries of readers use it, and a plain revision no longer compiles there.

--- a/beliefs.c
+++ b/beliefs.c
@@ -126,20 +126,23 @@
 	while (g_hash_table_iter_next(&iter, &id, &due)) {
 		if (ts_cmp(now, *(struct timespec *)due) < 0)
 			continue;
-		registry_remove(cs->registry, ((GString *)id)->str, 0, now);
+		registry_remove(cs->registry, ((GString *)id)->str, STORE_VERSION_NONE, now);
 		g_hash_table_iter_remove(&iter);
 	}
 	steer_timer(cs->steer, now);
 }
 
-void control_state_begin_answer(struct control_state *cs, int64_t revision)
+void control_state_begin_answer(struct control_state *cs, struct store_version revision,
+				struct timespec now)
 {
+	(void)now;
 	cs->report_revision = revision;
 }
 
-void control_state_complete(struct control_state *cs, enum control_kind kind, int64_t revision)
+void control_state_complete(struct control_state *cs, enum control_kind kind,
+			    struct store_version revision)
 {
-	cs->complete[kind] = MAX(cs->complete[kind], revision);
+	cs->complete[kind] = store_version_max(cs->complete[kind], revision);
 	cs->known[kind] = true;
 }
 
--- a/beliefs.h
+++ b/beliefs.h
@@ -37,16 +37,16 @@
 	GHashTable *lapsed;    /* GString id to struct timespec: when the target is removed */
 	GHashTable *malformed; /* names of malformed entries that were logged */
 	uint64_t withdrawals;  /* changes of the set of withdrawn data centres */
-	int64_t withdrawals_revision; /* store revision of the answer with the latest change */
+	struct store_version withdrawals_revision; /* of the answer with the latest change */
 	GHashTable
 		*withdrawn_listed; /* data centre symbols in the list of withdrawals being read */
 	bool known[CONTROL_KINDS]; /* reported completely at least once */
 	/* Time of the store's latest answer, to this instance or to the reader. */
 	struct timespec last_answer[CONTROL_KINDS];
 	struct timespec received[CONTROL_KINDS]; /* latest answer or relayed page applied here */
-	int64_t complete[CONTROL_KINDS]; /* all changes up to this store revision are known */
-	uint64_t config_min_version;	 /* newest version reported by another instance */
-	int64_t report_revision;	 /* store revision of the answer being reported */
+	struct store_version complete[CONTROL_KINDS]; /* all changes up to it are known */
+	uint64_t config_min_version;	      /* newest version reported by another instance */
+	struct store_version report_revision; /* of the answer being reported */
 	bool store_lost;
 	struct timespec store_regained;
 	struct histogram store_times;
@@ -77,9 +77,11 @@
  * end.
  */
 /* The reports that follow come from an answer at store revision @revision. */
-void control_state_begin_answer(struct control_state *cs, int64_t revision);
+void control_state_begin_answer(struct control_state *cs, struct store_version revision,
+				struct timespec now);
 /* All changes of a kind up to @revision have been reported, or confirmed. */
-void control_state_complete(struct control_state *cs, enum control_kind kind, int64_t revision);
+void control_state_complete(struct control_state *cs, enum control_kind kind,
+			    struct store_version revision);
 /* An answer about @kind, or a page of the relay, has been applied. */
 void control_state_received(struct control_state *cs, enum control_kind kind, struct timespec now);
 void control_state_targets_begin(struct control_state *cs);
--- a/registry.c
+++ b/registry.c
@@ -16,9 +16,9 @@
 	GHashTable *by_mark;	/* upper half of the mark to a chain of struct reg_target */
 	GHashTable *by_service; /* symbol to GPtrArray of struct reg_target */
 	struct registry_listener *listener;
-	int64_t latest_revision; /* highest answer_revision */
-	int64_t freed_revision;	 /* highest answer_revision of a target that was freed */
-	bool reading_list;	 /* a whole list is being read */
+	struct store_version latest_revision; /* highest answer_revision */
+	struct store_version freed_revision;  /* highest one of a target that was freed */
+	bool reading_list;		      /* a whole list is being read */
 };
 
 static void free_target(gpointer data)
@@ -131,13 +131,14 @@
 		g_ptr_array_remove_fast(list, tgt);
 }
 
-void registry_touch(struct registry *reg, struct reg_target *tgt, int64_t answer_revision)
+void registry_touch(struct registry *reg, struct reg_target *tgt,
+		    struct store_version answer_revision)
 {
-	tgt->answer_revision = MAX(tgt->answer_revision, answer_revision);
-	reg->latest_revision = MAX(reg->latest_revision, answer_revision);
+	tgt->answer_revision = store_version_max(tgt->answer_revision, answer_revision);
+	reg->latest_revision = store_version_max(reg->latest_revision, answer_revision);
 }
 
-int64_t registry_latest_revision(const struct registry *reg)
+struct store_version registry_latest_revision(const struct registry *reg)
 {
 	return reg->latest_revision;
 }
@@ -171,10 +172,11 @@
 static bool is_outdated(const struct registry *reg, const struct reg_target *tgt,
 			const struct target_info *info)
 {
-	if (!info->revision)
+	int cmp = store_version_cmp(info->revision, tgt->revision);
+
+	if (!store_version_known(info->revision))
 		return false;
-	return info->revision < tgt->revision ||
-	       (info->revision == tgt->revision && tgt->phase == TARGET_GONE && !reg->reading_list);
+	return cmp < 0 || (!cmp && tgt->phase == TARGET_GONE && !reg->reading_list);
 }
 
 bool registry_put(struct registry *reg, const struct target_info *info, struct timespec now)
@@ -205,7 +207,8 @@
 	tgt->warm_at = ts_add_ms(now, info->cold_ms);
 	tgt->in_list = true;
 	/* A list repeats entries that have not changed. */
-	if (before == TARGET_GONE || !info->revision || info->revision != tgt->revision)
+	if (before == TARGET_GONE || !store_version_known(info->revision) ||
+	    store_version_cmp(info->revision, tgt->revision) != 0)
 		registry_touch(reg, tgt, info->answer_revision);
 	tgt->revision = info->revision;
 	if (before != tgt->phase || restarted) {
@@ -215,8 +218,8 @@
 	return true;
 }
 
-static void set_gone(struct registry *reg, struct reg_target *tgt, int64_t answer_revision,
-		     struct timespec now)
+static void set_gone(struct registry *reg, struct reg_target *tgt,
+		     struct store_version answer_revision, struct timespec now)
 {
 	enum target_phase before = tgt->phase;
 
@@ -229,7 +232,7 @@
 	notify(reg, tgt, before, false, now);
 }
 
-void registry_remove(struct registry *reg, const char *id, int64_t answer_revision,
+void registry_remove(struct registry *reg, const char *id, struct store_version answer_revision,
 		     struct timespec now)
 {
 	struct reg_target *tgt = registry_by_id(reg, id);
@@ -260,7 +263,8 @@
 	registry_each(reg, clear_in_list, NULL);
 }
 
-void registry_list_end(struct registry *reg, int64_t answer_revision, struct timespec now)
+void registry_list_end(struct registry *reg, struct store_version answer_revision,
+		       struct timespec now)
 {
 	GHashTableIter iter;
 	gpointer tgt;
@@ -286,7 +290,7 @@
 		    tgt->trust != TRUST_ALIVE || ts_diff_ms(now, tgt->changed) < keep_ms)
 			continue;
 		unindex_mark(reg, tgt);
-		reg->freed_revision = MAX(reg->freed_revision, tgt->answer_revision);
+		reg->freed_revision = store_version_max(reg->freed_revision, tgt->answer_revision);
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -299,27 +303,29 @@
 	return strcmp(x->id->str, y->id->str);
 }
 
-GPtrArray *registry_changed_since(const struct registry *reg, int64_t revision, const char *after)
+GPtrArray *registry_changed_since(const struct registry *reg, struct store_version revision,
+				  const char *after)
 {
 	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
-	if (revision >= reg->latest_revision)
+	if (store_version_cmp(revision, reg->latest_revision) >= 0)
 		return list;
 	g_hash_table_iter_init(&iter, reg->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct reg_target *tgt = value;
 
-		if (tgt->answer_revision > revision && strcmp(tgt->id->str, after) > 0 &&
-		    (revision || tgt->phase != TARGET_GONE))
+		if (store_version_cmp(tgt->answer_revision, revision) > 0 &&
+		    strcmp(tgt->id->str, after) > 0 &&
+		    (revision.order || tgt->phase != TARGET_GONE))
 			g_ptr_array_add(list, value);
 	}
 	g_ptr_array_sort(list, compare_ids);
 	return list;
 }
 
-int64_t registry_freed_revision(const struct registry *reg)
+struct store_version registry_freed_revision(const struct registry *reg)
 {
 	return reg->freed_revision;
 }
--- a/registry.h
+++ b/registry.h
@@ -15,6 +15,7 @@
 
 #include "admission.h"
 #include "packet.h"
+#include "storeversion.h"
 #include "symbol.h"
 
 enum target_phase {
@@ -38,11 +39,12 @@
 	uint32_t data_centre; /* symbol */
 	uint32_t slots;	      /* requests that it processes concurrently */
 	bool draining;
-	uint32_t cold_ms;	 /* time left of the slow phase after its start */
-	int64_t born_ms;	 /* Unix time of its start; differs after a restart */
-	int64_t revision;	 /* of the store at the entry's last change, 0 if unknown */
-	int64_t answer_revision; /* store revision of the reporting answer; see
-				    registry_changed_since() */
+	uint32_t cold_ms; /* time left of the slow phase after its start */
+	int64_t born_ms;  /* Unix time of its start; differs after a restart */
+	/* Of the store at the entry's last change; its revision is 0 if unknown. */
+	struct store_version revision;
+	/* Of the reporting answer; see registry_changed_since(). */
+	struct store_version answer_revision;
 };
 
 struct reg_target {
@@ -55,8 +57,8 @@
 	uint32_t data_centre;
 	uint32_t slots;
 	int64_t born_ms;
-	int64_t revision;
-	int64_t answer_revision;
+	struct store_version revision;
+	struct store_version answer_revision;
 	enum target_phase phase;
 	struct timespec warm_at;
 	struct timespec changed; /* latest change of the phase, or restart, seen here */
@@ -97,11 +99,12 @@
 /* Adds or updates one target. Returns false when a newer state of it is known. */
 bool registry_put(struct registry *reg, const struct target_info *info, struct timespec now);
 /* Marks a target as gone, as reported by an answer of store revision @answer_revision. */
-void registry_remove(struct registry *reg, const char *id, int64_t answer_revision,
+void registry_remove(struct registry *reg, const char *id, struct store_version answer_revision,
 		     struct timespec now);
 /* A whole list: begin, put each entry, end. Targets that were not put are gone at the end. */
 void registry_list_begin(struct registry *reg);
-void registry_list_end(struct registry *reg, int64_t answer_revision, struct timespec now);
+void registry_list_end(struct registry *reg, struct store_version answer_revision,
+		       struct timespec now);
 
 /* Frees targets without flows that have been gone for at least @keep_ms. */
 void registry_sweep(struct registry *reg, struct timespec now, int64_t keep_ms);
@@ -111,13 +114,15 @@
  * @after, sorted by identifier. With @revision 0, without those that are gone. Elements are struct
  * reg_target; to be freed with g_ptr_array_unref().
  */
-GPtrArray *registry_changed_since(const struct registry *reg, int64_t revision, const char *after);
+GPtrArray *registry_changed_since(const struct registry *reg, struct store_version revision,
+				  const char *after);
 /* Latest store revision that changed a target: registry_changed_since() of it is empty. */
-int64_t registry_latest_revision(const struct registry *reg);
+struct store_version registry_latest_revision(const struct registry *reg);
 /* Records that an answer of store revision @answer_revision has changed the target. */
-void registry_touch(struct registry *reg, struct reg_target *tgt, int64_t answer_revision);
+void registry_touch(struct registry *reg, struct reg_target *tgt,
+		    struct store_version answer_revision);
 /* Latest store revision that changed a target which has been freed since. */
-int64_t registry_freed_revision(const struct registry *reg);
+struct store_version registry_freed_revision(const struct registry *reg);
 
 struct reg_target *registry_by_id(struct registry *reg, const char *id);
 /* Ready and draining targets of a service: struct reg_target. NULL when there are none. */
--- a/relay-internal.h
+++ b/relay-internal.h
@@ -27,11 +27,11 @@
 struct follower {
 	uint32_t id; /* IPv4 address */
 	uint64_t session;
-	int64_t sent_revision;	      /* all changes up to this revision have been sent */
-	struct timespec last_request; /* time of the latest request */
-	unsigned int nr_requests;     /* requests since the latest heartbeat */
-	bool pages_pending;	      /* still has to request pages of the current series */
-	bool awaits_ready;	      /* sent its request before this instance was ready */
+	struct store_version sent_revision; /* all changes up to it have been sent */
+	struct timespec last_request;	    /* time of the latest request */
+	unsigned int nr_requests;	    /* requests since the latest heartbeat */
+	bool pages_pending;		    /* still has to request pages of the current series */
+	bool awaits_ready;		    /* sent its request before this instance was ready */
 };
 
 struct relay {
@@ -44,8 +44,8 @@
 
 	/* Follower. */
 	struct relay_channel to_reader;
-	struct reader_entry reader; /* the reader that is joined or followed */
-	int64_t left_revision;	    /* entry revision of the reader left last; not joined again */
+	struct reader_entry reader;	    /* the reader that is joined or followed */
+	struct store_version left_revision; /* of the entry of the reader left last */
 	uint64_t session;
 	struct view_progress progress;
 	struct timespec started;
--- a/relay-reader.c
+++ b/relay-reader.c
@@ -48,7 +48,7 @@
 
 	range->session = fol->session;
 	range->reader = reader_flags(relay);
-	range->max_pages = range->base ? CHANGES_BURST_PAGES : LIST_BURST_PAGES;
+	range->max_pages = range->base.order ? CHANGES_BURST_PAGES : LIST_BURST_PAGES;
 	fol->pages_pending =
 		!view_write(relay->opts.control_state, range, relay->now, send_page, &sink);
 	if (!fol->pages_pending && !sink.failed)
@@ -61,6 +61,7 @@
 	struct follower *fol = g_hash_table_lookup(followers, GUINT_TO_POINTER(src));
 	const struct control_state *cs = relay->opts.control_state;
 	struct view_range range = { .after = request->after };
+	struct store_version base = { (int64_t)request->base };
 	GPtrArray *changed;
 
 	if (request->base > INT64_MAX)
@@ -78,10 +79,10 @@
 	fol->last_request = relay->now;
 	fol->awaits_ready = !control_state_ready(cs);
 	if (fol->awaits_ready) {
-		fol->sent_revision = (int64_t)request->base;
+		fol->sent_revision = base;
 		return;
 	}
-	range.base = view_base_revision(cs, (int64_t)request->base);
+	range.base = view_base_revision(cs, base);
 	changed = registry_changed_since(cs->registry, range.base, request->after);
 	range.changed = changed;
 	send_changes(relay, fol, &range);
@@ -132,9 +133,9 @@
 			GPtrArray **changed, bool heartbeat)
 {
 	const struct control_state *cs = relay->opts.control_state;
-	int64_t base = view_base_revision(cs, fol->sent_revision);
+	struct store_version base = view_base_revision(cs, fol->sent_revision);
 
-	if (!*changed || range->base != base) {
+	if (!*changed || store_version_cmp(range->base, base) != 0) {
 		if (*changed)
 			g_ptr_array_unref(*changed);
 		*changed = registry_changed_since(cs->registry, base, "");
@@ -152,7 +153,7 @@
 {
 	struct view_range range = { .after = "" };
 	bool all = update_sent_state(relay) || heartbeat;
-	int64_t complete = relay->opts.control_state->complete[CONTROL_TARGETS];
+	struct store_version complete = relay->opts.control_state->complete[CONTROL_TARGETS];
 	GPtrArray *changed = NULL;
 	GHashTableIter iter;
 	gpointer value;
@@ -166,7 +167,8 @@
 		if (ts_diff_ms(relay->now, fol->last_request) >= FOLLOWER_EXPIRY_MS)
 			g_hash_table_iter_remove(&iter);
 		else if (!fol->pages_pending &&
-			 (all || fol->awaits_ready || fol->sent_revision < complete))
+			 (all || fol->awaits_ready ||
+			  store_version_cmp(fol->sent_revision, complete) < 0))
 			send_update(relay, fol, &range, &changed, all || fol->awaits_ready);
 	}
 	if (changed)
--- a/relay.c
+++ b/relay.c
@@ -80,7 +80,7 @@
 		     "relay=%s was=%s why=%s reader=%s targets_revision=%lld followers=%u",
 		     relay_role_name(role), relay_role_name(relay->role), why,
 		     role == RELAY_JOINING || role == RELAY_FOLLOWING ? reader : "",
-		     (long long)relay->opts.control_state->complete[CONTROL_TARGETS],
+		     (long long)relay->opts.control_state->complete[CONTROL_TARGETS].order,
 		     relay_followers(relay));
 	relay->role = role;
 }
@@ -192,7 +192,7 @@
 		.peer_msg_u.view_ask = {
 			.session = relay->session,
 			.base = (uint64_t)(more ? relay->progress.base :
-					   relay->opts.control_state->complete[CONTROL_TARGETS]),
+					   relay->opts.control_state->complete[CONTROL_TARGETS]).order,
 			.after = relay->progress.after->str,
 		},
 	};
@@ -221,7 +221,8 @@
 /* Whether the initial list is being read from the store. */
 static bool store_list_in_progress(const struct relay *relay)
 {
-	return !relay->upstream_paused && !relay->opts.control_state->complete[CONTROL_TARGETS] &&
+	return !relay->upstream_paused &&
+	       !relay->opts.control_state->complete[CONTROL_TARGETS].order &&
 	       ts_diff_ms(relay->now, relay->started) >= READER_LIST_WAIT_MS;
 }
 
@@ -242,8 +243,8 @@
 	       !relay->opts.control_state->store_lost;
 }
 
-/* Registers this instance in place of the entry with @revision; 0 if there is no entry. */
-static void claim(struct relay *relay, int64_t revision)
+/* Registers this instance in place of the entry with @revision; none if there is no entry. */
+static void claim(struct relay *relay, struct store_version revision)
 {
 	if (!can_be_reader(relay) || relay->claim_pending) {
 		schedule_lookup_by_memory(relay);
@@ -323,10 +324,11 @@
 		return;
 	if (entry && endpoint_equal(entry->ep, relay->opts.self)) {
 		resume_as_reader(relay, entry);
-	} else if (entry && entry->ep.port && entry->revision != relay->left_revision) {
+	} else if (entry && entry->ep.port &&
+		   store_version_cmp(entry->revision, relay->left_revision) != 0) {
 		join_reader(relay, entry);
 	} else if (ok && !first) {
-		claim(relay, entry ? entry->revision : 0);
+		claim(relay, entry ? entry->revision : STORE_VERSION_NONE);
 	} else {
 		/* No claim on the first lookup: instances started together would all register. */
 		schedule_lookup_by_memory(relay);
--- a/snapshot.c
+++ b/snapshot.c
@@ -86,7 +86,7 @@
 	add_true(obj, "draining", tgt->phase == TARGET_DRAINING);
 	add_num(obj, "cold_ms", (uint64_t)MAX(ts_diff_ms(tgt->warm_at, wr->now), 0));
 	add_num(obj, "born_ms", (uint64_t)tgt->born_ms);
-	add_num(obj, "revision", (uint64_t)tgt->revision);
+	add_num(obj, "revision", (uint64_t)tgt->revision.order);
 	json_object_array_add(wr->list, obj);
 }
 
@@ -109,7 +109,7 @@
 
 	json_object_object_add(root, "age_ms", json_object_new_int64(oldest_age_ms(cs, now)));
 	json_object_object_add(root, "revision",
-			       json_object_new_int64(registry_latest_revision(cs->registry)));
+			       json_object_new_int64(registry_latest_revision(cs->registry).order));
 	json_object_object_add(root, "config",
 			       json_object_new_uint64(routing_version(cs->routing)));
 	json_object_object_add(root, "idle_timeout_ms",
@@ -206,7 +206,7 @@
 		.draining = json_true(obj, "draining"),
 		.cold_ms = (uint32_t)json_num(obj, "cold_ms"),
 		.born_ms = (int64_t)json_num(obj, "born_ms"),
-		.revision = (int64_t)json_num(obj, "revision"),
+		.revision = { (int64_t)json_num(obj, "revision") },
 	};
 
 	endpoint_parse(json_str(obj, "address"), &info.ep);
@@ -220,7 +220,8 @@
 
 	if (!cs->known[CONTROL_CONFIG])
 		apply_config(root, cs, now);
-	control_state_begin_answer(cs, (int64_t)json_num(root, "revision"));
+	control_state_begin_answer(
+		cs, (struct store_version){ (int64_t)json_num(root, "revision") }, now);
 	for (size_t i = 0; !cs->known[CONTROL_TARGETS] && i < json_len(root, "targets"); i++)
 		apply_target(json_item(root, "targets", i), cs, now);
 	for (size_t i = 0; !cs->known[CONTROL_WITHDRAWALS] && i < json_len(root, "withdrawn"); i++)
--- a/t/test-listing.c
+++ b/t/test-listing.c
@@ -337,7 +337,7 @@
 	text = format_state(&fix);
 	g_assert_cmpstr(why, ==, c->why);
 	g_assert_cmpstr(text, ==, c->expected_state);
-	g_assert_cmpint(ls->revision, ==, c->watch_from);
+	g_assert_cmpint(store_version_revision(ls->revision), ==, c->watch_from);
 	g_assert_true(listing_catching_up(ls) == c->catching_up);
 	g_free(text);
 	teardown(&fix);
@@ -469,7 +469,7 @@
 
 		setup(&fix);
 		ls = reports_listing(&fix.reports, CONTROL_TARGETS);
-		ls->revision = paths[i].watch_from;
+		ls->revision = store_version_make(0, paths[i].watch_from);
 		g_string_assign(ls->after_name, paths[i].last ? paths[i].last : "");
 		path = listing_path(ls, "servers", 2500, paths[i].fresh);
 		g_assert_cmpstr(path, ==, paths[i].path);
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -53,7 +53,7 @@
 	struct reader_entry claim;
 	bool claim_pending;
 	unsigned int calls; /* calls to the store since the last "count" */
-	int64_t complete[CONTROL_KINDS];
+	struct store_version complete[CONTROL_KINDS];
 	uint64_t version;
 };
 
@@ -65,6 +65,7 @@
 	struct seeded_random random;
 	int64_t now_ms;
 	GArray *changes; /* struct change: the history of the store */
+	int64_t era;
 	int64_t revision;
 	int64_t config_revision;
 	uint64_t config_version;
@@ -78,6 +79,11 @@
 	unsigned int loss_percent;
 };
 
+static struct store_version sim_version(const struct sim *sim, int64_t revision)
+{
+	return store_version_make(sim->era, revision);
+}
+
 static struct timespec sim_now(const struct sim *sim)
 {
 	return ts_from_ms(START_MS + sim->now_ms);
@@ -223,7 +229,7 @@
 		.slots = 2,
 		.draining = chg->draining,
 		.born_ms = 5,
-		.revision = chg->revision,
+		.revision = sim_version(node->sim, chg->revision),
 	};
 
 	if (chg->name_bytes) {
@@ -252,15 +258,16 @@
 {
 	const struct sim *sim = node->sim;
 	struct control_state *cs = &node->control_state;
-	bool list = !cs->complete[CONTROL_TARGETS];
+	struct store_version complete = cs->complete[CONTROL_TARGETS];
+	bool list = !complete.order || store_version_era(complete) < sim->era;
 
 	if (list)
 		control_state_targets_begin(cs);
 	for (guint i = 0; i < sim->changes->len; i++) {
 		const struct change *chg = &g_array_index(sim->changes, struct change, i);
 
-		if (chg->revision <= cs->complete[CONTROL_TARGETS] ||
-		    (list && (chg->removed || !is_latest_change(sim, i))))
+		if (list ? chg->removed || !is_latest_change(sim, i)
+			 : chg->revision <= store_version_revision(complete))
 			continue;
 		report_target(node, chg, now);
 	}
@@ -304,7 +311,7 @@
 		return;
 	}
 	control_state_store_answered(cs, kind, now);
-	control_state_begin_answer(cs, node->sim->revision);
+	control_state_begin_answer(cs, sim_version(node->sim, node->sim->revision), now);
 	switch (kind) {
 	case CONTROL_TARGETS:
 		report_targets(node, now);
@@ -317,20 +324,20 @@
 		report_withdrawals(node, now);
 		break;
 	}
-	control_state_complete(cs, kind, node->sim->revision);
+	control_state_complete(cs, kind, sim_version(node->sim, node->sim->revision));
 	control_state_received(cs, kind, now);
 }
 
 static void answer_claim(struct node *node, struct timespec now)
 {
 	struct sim *sim = node->sim;
-	bool done = !node->refused && sim->entry.revision == node->claim.revision;
+	bool done = !node->refused && !store_version_cmp(sim->entry.revision, node->claim.revision);
 
 	node->claim_pending = false;
 	node->calls++;
 	if (done) {
 		sim->entry = node->claim;
-		sim->entry.revision = ++sim->revision;
+		sim->entry.revision = sim_version(sim, ++sim->revision);
 	}
 	relay_claim_done(node->relay, done && !sim->lose_claims, now);
 }
@@ -344,7 +351,10 @@
 		node->lookup_pending = false;
 		node->calls++;
 		relay_lookup_done(node->relay, !node->refused,
-				  sim->entry.revision && !node->refused ? &sim->entry : NULL, now);
+				  store_version_known(sim->entry.revision) && !node->refused
+					  ? &sim->entry
+					  : NULL,
+				  now);
 	}
 	if (node->claim_pending)
 		answer_claim(node, now);
@@ -360,7 +370,7 @@
 static void check_no_regression(struct node *node)
 {
 	for (int i = 0; i < CONTROL_KINDS; i++) {
-		g_assert_cmpint(node->control_state.complete[i], >=, node->complete[i]);
+		g_assert_cmpint(node->control_state.complete[i].order, >=, node->complete[i].order);
 		node->complete[i] = node->control_state.complete[i];
 	}
 	g_assert_cmpuint(routing_version(node->control_state.routing), >=, node->version);
@@ -476,7 +486,7 @@
 
 	g_test_message("instance %u: %s, expecting %s, targets complete to %lld", node->nr,
 		       relay_role_name(relay_role(node->relay)), phase,
-		       (long long)node->control_state.complete[CONTROL_TARGETS]);
+		       (long long)node->control_state.complete[CONTROL_TARGETS].order);
 	/* Targets that have left are deleted from the registry after a minute. */
 	if (!strcmp(phase, "left"))
 		g_assert_true(!tgt || tgt->phase == TARGET_GONE);
@@ -620,7 +630,7 @@
 	} else if (!strcmp(cmd, "lose-claims")) {
 		sim->lose_claims = !strcmp(words[1], "yes");
 	} else if (!strcmp(cmd, "spoil-entry")) {
-		sim->entry = (struct reader_entry){ .revision = ++sim->revision };
+		sim->entry = (struct reader_entry){ .revision = sim_version(sim, ++sim->revision) };
 	} else if (!strcmp(cmd, "garbage")) {
 		send_garbage(sim, node_named(sim, words[1]));
 	} else if (!strcmp(cmd, "each")) {
@@ -818,7 +828,7 @@
 	for (int i = 0; i < 2; i++)
 		control_state_init(&cs[i], &opts);
 	view_progress_init(&pages.progress);
-	control_state_begin_answer(&cs[0], 7);
+	control_state_begin_answer(&cs[0], store_version_make(0, 7), ts_from_ms(START_MS));
 	for (const char *fill = "abc"; *fill; fill++) {
 		char *name = g_strnfill(CONTROL_NAME_MAX_BYTES, *fill);
 		char *zone = g_strnfill(CONTROL_NAME_MAX_BYTES, g_ascii_toupper(*fill));
@@ -828,7 +838,7 @@
 			.service = symbols_intern(&cs[0].symbols, name),
 			.data_centre = symbols_intern(&cs[0].symbols, zone),
 			.slots = 2,
-			.revision = 7,
+			.revision = store_version_make(0, 7),
 		};
 
 		control_state_put_target(&cs[0], &info, ts_from_ms(START_MS));
@@ -836,9 +846,9 @@
 		g_free(name);
 		g_free(zone);
 	}
-	control_state_complete(&cs[0], CONTROL_TARGETS, 7);
-	control_state_complete(&cs[0], CONTROL_WITHDRAWALS, 7);
-	changed = registry_changed_since(cs[0].registry, 0, "");
+	control_state_complete(&cs[0], CONTROL_TARGETS, store_version_make(0, 7));
+	control_state_complete(&cs[0], CONTROL_WITHDRAWALS, store_version_make(0, 7));
+	changed = registry_changed_since(cs[0].registry, STORE_VERSION_NONE, "");
 	range.changed = changed;
 	g_assert_true(view_write(&cs[0], &range, ts_from_ms(START_MS), apply_page, &pages));
 	g_assert_cmpuint(pages.nr, ==, 3);
--- a/t/test-snapshot.c
+++ b/t/test-snapshot.c
@@ -88,7 +88,7 @@
 		.draining = draining,
 		.cold_ms = 700,
 		.born_ms = 1780000000000,
-		.revision = revision,
+		.revision = store_version_make(0, revision),
 	};
 
 	control_state_put_target(cs, &info, fix->now);
@@ -117,7 +117,7 @@
 	struct control_state *cs = &fix->control_state;
 
 	for (int i = 0; i < CONTROL_KINDS; i++) {
-		control_state_complete(cs, (enum control_kind)i, 50);
+		control_state_complete(cs, (enum control_kind)i, store_version_make(0, 50));
 		control_state_store_answered(cs, (enum control_kind)i, fix->now);
 	}
 }
@@ -126,7 +126,7 @@
 {
 	struct control_state *cs = &fix->control_state;
 
-	control_state_begin_answer(cs, 50);
+	control_state_begin_answer(cs, store_version_make(0, 50), fix->now);
 	put_target(fix, "i-a", "web", "home", false, 10);
 	put_target(fix, "i-b", "web", "home", true, 20);
 	put_target(fix, "i-c", "web", "far", false, 30);
@@ -200,7 +200,7 @@
 	g_assert_cmpuint(tgt->wire_id, ==, 0xffffffffffffff0au);
 	g_assert_cmpuint(tgt->slots, ==, 3);
 	g_assert_cmpint(tgt->born_ms, ==, 1780000000000);
-	g_assert_cmpint(tgt->revision, ==, 10);
+	g_assert_cmpint(tgt->revision.order, ==, 10);
 	g_assert_cmpint(ts_diff_ms(tgt->warm_at, to.now), ==, 400);
 	rule = routing_find(to.control_state.routing, (struct endpoint){ SERVICE_IP, 443 });
 	g_assert_cmpuint(rule->admission.timeout_ms, ==, 1500);
@@ -240,7 +240,7 @@
 	fill(&from);
 	text = write_snapshot(&from);
 	apply(&to, text, 0);
-	control_state_begin_answer(cs, 60);
+	control_state_begin_answer(cs, store_version_make(0, 60), to.now);
 	control_state_targets_begin(cs);
 	put_target(&to, "i-b", "web", "home", true, 20);
 	put_target(&to, "i-f", "web", "home", false, 55);
--- a/upstream.h
+++ b/upstream.h
@@ -11,8 +11,8 @@
 /* Registration, in the store, of the instance that reads the store for its data centre. */
 struct reader_entry {
 	struct endpoint ep;
-	uint8_t key[PEER_KEY_BYTES]; /* authenticates and encrypts messages to and from it */
-	int64_t revision;	     /* of the entry; 0 if there is none */
+	uint8_t key[PEER_KEY_BYTES];   /* authenticates and encrypts messages to and from it */
+	struct store_version revision; /* of the entry; none if there is no entry */
 };
 
 struct upstream;
--- a/view.c
+++ b/view.c
@@ -54,7 +54,7 @@
 
 	*out = (peer_view_target){
 		.id = tgt->id->str,
-		.revision = (uint64_t)tgt->revision,
+		.revision = (uint64_t)tgt->revision.order,
 		.wire_id = tgt->wire_id,
 		.ip = tgt->ep.ip,
 		.port_slots = (uint32_t)tgt->ep.port << HALF_BITS | MIN(tgt->slots, HALF_MASK),
@@ -88,12 +88,13 @@
 		size += string_bytes(name);
 		if (nr == PEER_MAX_VIEW_NAMES || size > WITHDRAWN_MAX_BYTES) {
 			page->reader |= PEER_READER_WITHDRAWN_OMITTED;
-			page->withdrawals_revision = (uint64_t)MAX(cs->withdrawals_revision, 1);
+			page->withdrawals_revision =
+				(uint64_t)MAX(cs->withdrawals_revision.order, 1);
 			return;
 		}
 		names[nr++] = (char *)name;
 	}
-	page->withdrawals_revision = (uint64_t)cs->complete[CONTROL_WITHDRAWALS];
+	page->withdrawals_revision = (uint64_t)cs->complete[CONTROL_WITHDRAWALS].order;
 	page->withdrawn.withdrawn_len = nr;
 	page->withdrawn.withdrawn_val = names;
 }
@@ -157,9 +158,11 @@
 	return page + 1 == max_pages ? PEER_VIEW_ASK_MORE : PEER_VIEW_FOLLOWS;
 }
 
-int64_t view_base_revision(const struct control_state *cs, int64_t known)
+struct store_version view_base_revision(const struct control_state *cs, struct store_version known)
 {
-	return known < registry_freed_revision(cs->registry) ? 0 : known;
+	return store_version_cmp(known, registry_freed_revision(cs->registry)) < 0
+		       ? STORE_VERSION_NONE
+		       : known;
 }
 
 bool view_write(const struct control_state *cs, const struct view_range *range, struct timespec now,
@@ -178,10 +181,10 @@
 		.session = range->session,
 		.reader = range->reader,
 		.age_ms = (uint32_t)MIN(oldest_ms(cs, now), UINT32_MAX),
-		.targets_revision = (uint64_t)cs->complete[CONTROL_TARGETS],
-		.config_revision = (uint64_t)cs->complete[CONTROL_CONFIG],
+		.targets_revision = (uint64_t)cs->complete[CONTROL_TARGETS].order,
+		.config_revision = (uint64_t)cs->complete[CONTROL_CONFIG].order,
 		.config_version = routing_version(cs->routing),
-		.base = (uint64_t)range->base,
+		.base = (uint64_t)range->base.order,
 		.targets.targets_val = targets,
 	};
 	write_withdrawals(cs, page, withdrawn);
@@ -219,6 +222,17 @@
 	g_string_truncate(vp->after, 0);
 }
 
+/* Pages carry the order of a version; valid ones are not negative. */
+static struct store_version version_of(uint64_t order)
+{
+	return (struct store_version){ (int64_t)order };
+}
+
+static bool is_before(uint64_t order, struct store_version version)
+{
+	return store_version_cmp(version_of(order), version) < 0;
+}
+
 static bool page_is_valid(const peer_view_page *page)
 {
 	const char *last = page->after;
@@ -253,7 +267,7 @@
 		.draining = tgt->flags & PEER_VIEW_DRAINING,
 		.cold_ms = tgt->cold_ms,
 		.born_ms = tgt->born_ms,
-		.revision = (int64_t)tgt->revision,
+		.revision = version_of(tgt->revision),
 	};
 
 	if (tgt->flags & PEER_VIEW_GONE) {
@@ -269,25 +283,25 @@
 			      struct timespec now)
 {
 	if (page->reader & PEER_READER_WITHDRAWN_OMITTED ||
-	    (int64_t)page->withdrawals_revision < cs->complete[CONTROL_WITHDRAWALS])
+	    is_before(page->withdrawals_revision, cs->complete[CONTROL_WITHDRAWALS]))
 		return;
-	control_state_begin_answer(cs, (int64_t)page->withdrawals_revision);
+	control_state_begin_answer(cs, version_of(page->withdrawals_revision), now);
 	control_state_withdrawals_begin(cs);
 	for (u_int i = 0; i < page->withdrawn.withdrawn_len; i++)
 		control_state_withdraw(cs, page->withdrawn.withdrawn_val[i], true, now);
 	control_state_withdrawals_end(cs, now);
-	control_state_complete(cs, CONTROL_WITHDRAWALS, (int64_t)page->withdrawals_revision);
+	control_state_complete(cs, CONTROL_WITHDRAWALS, version_of(page->withdrawals_revision));
 }
 
 static bool continues_series(const struct view_progress *vp, const peer_view_page *page)
 {
-	return vp->active && vp->base == (int64_t)page->base &&
+	return vp->active && vp->base.order == (int64_t)page->base &&
 	       !strcmp(vp->after->str, page->after);
 }
 
 static bool begins_series(const struct control_state *cs, const peer_view_page *page)
 {
-	return !*page->after && (int64_t)page->base <= cs->complete[CONTROL_TARGETS];
+	return !*page->after && (int64_t)page->base <= cs->complete[CONTROL_TARGETS].order;
 }
 
 static void begin_series(struct control_state *cs, struct view_progress *vp,
@@ -295,8 +309,8 @@
 {
 	view_progress_reset(vp);
 	vp->active = true;
-	vp->base = (int64_t)page->base;
-	vp->first_revision = (int64_t)page->targets_revision;
+	vp->base = version_of(page->base);
+	vp->first_revision = version_of(page->targets_revision);
 	if (!page->base)
 		control_state_targets_begin(cs);
 }
@@ -304,13 +318,13 @@
 static void complete(struct control_state *cs, struct view_progress *vp, const peer_view_page *page,
 		     struct timespec now)
 {
-	if (!vp->base)
+	if (!vp->base.order)
 		control_state_targets_end(cs, now);
 	control_state_complete(cs, CONTROL_TARGETS, vp->first_revision);
 	view_progress_reset(vp);
 	/* Equal versions: the configuration has not changed up to the reader's revision. */
 	if (page->config_version && page->config_version == routing_version(cs->routing))
-		control_state_complete(cs, CONTROL_CONFIG, (int64_t)page->config_revision);
+		control_state_complete(cs, CONTROL_CONFIG, version_of(page->config_revision));
 }
 
 bool view_lacks(const struct control_state *cs, const peer_view_page *page, enum control_kind kind)
@@ -320,7 +334,8 @@
 		return page->config_version > routing_version(cs->routing);
 	case CONTROL_WITHDRAWALS:
 		return page->reader & PEER_READER_WITHDRAWN_OMITTED &&
-		       cs->complete[kind] < (int64_t)page->withdrawals_revision;
+		       store_version_cmp(cs->complete[kind],
+					 version_of(page->withdrawals_revision)) < 0;
 	case CONTROL_TARGETS:
 	case CONTROL_KINDS:
 		break;
@@ -335,7 +350,7 @@
 
 	if (!page_is_valid(page))
 		return VIEW_MALFORMED;
-	if ((int64_t)page->targets_revision < cs->complete[CONTROL_TARGETS])
+	if (is_before(page->targets_revision, cs->complete[CONTROL_TARGETS]))
 		return VIEW_BEHIND;
 	apply_withdrawals(cs, page, now);
 	cs->config_min_version = MAX(cs->config_min_version, page->config_version);
@@ -344,7 +359,7 @@
 			return VIEW_GAP;
 		begin_series(cs, vp, page);
 	}
-	control_state_begin_answer(cs, (int64_t)page->targets_revision);
+	control_state_begin_answer(cs, version_of(page->targets_revision), now);
 	for (u_int i = 0; i < nr; i++)
 		apply_target(cs, page, &page->targets.targets_val[i], now);
 	if (nr)
--- a/view.h
+++ b/view.h
@@ -15,11 +15,11 @@
 
 /* The changes to write. */
 struct view_range {
-	uint64_t session;	  /* of the receiver */
-	uint32_t reader;	  /* PEER_READER_* */
-	int64_t base;		  /* from view_base_revision() */
-	const char *after;	  /* write targets with identifiers above this one */
-	const GPtrArray *changed; /* from registry_changed_since() */
+	uint64_t session;	   /* of the receiver */
+	uint32_t reader;	   /* PEER_READER_* */
+	struct store_version base; /* from view_base_revision() */
+	const char *after;	   /* write targets with identifiers above this one */
+	const GPtrArray *changed;  /* from registry_changed_since() */
 	unsigned int max_pages;
 };
 
@@ -27,7 +27,7 @@
  * Returns the revision from which to send changes to an instance that is complete up to @known: 0,
  * for a whole list, if removed targets have been deleted from the registry since.
  */
-int64_t view_base_revision(const struct control_state *cs, int64_t known);
+struct store_version view_base_revision(const struct control_state *cs, struct store_version known);
 
 typedef void (*view_send_fn)(void *arg, const peer_msg *msg);
 
@@ -38,9 +38,9 @@
 /* Progress of applying a series of pages. */
 struct view_progress {
 	bool active;
-	int64_t base;
-	int64_t first_revision; /* revision of the reader at the first page */
-	GString *after;		/* identifier of the last target applied */
+	struct store_version base;
+	struct store_version first_revision; /* of the reader at the first page */
+	GString *after;			     /* identifier of the last target applied */
 };
 
 enum view_result {
