store: read the store's era and keep what is newer than a restored copy

A store that is restored from an older copy loses acknowledged writes and assigns their revisions again; instances compared revisions alone, so they took the copy's states for ones that they had, or applied older ones.

The store's client reads the header Store-Era. On a higher era it abandons its calls and reads fresh lists; answers of a lower era are dropped. A reader shows its followers the new era with one page; they request a list from it at their usual pace. It checks its own entry once.

--- a/beliefs.c
+++ b/beliefs.c
@@ -43,10 +43,12 @@
 	cs->withdrawn_listed = g_hash_table_new(NULL, NULL);
 	cs->malformed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	cs->lapsed = g_hash_table_new_full(gstr_hash, gstr_equal, gstr_free, g_free);
+	kept_init(&cs->kept);
 }
 
 void control_state_release(struct control_state *cs)
 {
+	kept_release(&cs->kept);
 	g_hash_table_unref(cs->lapsed);
 	g_hash_table_unref(cs->malformed);
 	g_hash_table_unref(cs->withdrawn_listed);
@@ -129,13 +131,14 @@
 		registry_remove(cs->registry, ((GString *)id)->str, STORE_VERSION_NONE, now);
 		g_hash_table_iter_remove(&iter);
 	}
+	kept_timer(cs, now);
 	steer_timer(cs->steer, now);
 }
 
 void control_state_begin_answer(struct control_state *cs, struct store_version revision,
 				struct timespec now)
 {
-	(void)now;
+	kept_answer(cs, revision, now);
 	cs->report_revision = revision;
 }
 
@@ -163,7 +166,9 @@
 	GString *key;
 
 	with_revision.answer_revision = cs->report_revision;
-	if (!registry_put(cs->registry, &with_revision, now))
+	/* An entry that is listed has not lapsed, even if its state is older than the known one. */
+	if (!kept_target(cs, &with_revision, now) &&
+	    !registry_put(cs->registry, &with_revision, now))
 		return;
 	key = g_string_new(info->id);
 	g_hash_table_remove(cs->lapsed, key);
@@ -172,6 +177,7 @@
 
 void control_state_remove_target(struct control_state *cs, const char *id, struct timespec now)
 {
+	kept_forget_target(cs, id);
 	if (in_lapse_grace(cs, now))
 		keep_lapsed(cs, id, now);
 	else
@@ -189,16 +195,21 @@
 
 	if (tgt->in_list || tgt->phase == TARGET_GONE)
 		return;
-	tgt->in_list = true;
-	keep_lapsed(walk->cs, tgt->id->str, walk->now);
+	if (kept_missing_target(walk->cs, tgt)) {
+		tgt->in_list = true;
+		control_state_lapse_target(walk->cs, tgt->id->str,
+					   ts_diff_ms(walk->cs->kept.end, walk->now), walk->now);
+	} else if (in_lapse_grace(walk->cs, walk->now)) {
+		tgt->in_list = true;
+		keep_lapsed(walk->cs, tgt->id->str, walk->now);
+	}
 }
 
 void control_state_targets_end(struct control_state *cs, struct timespec now)
 {
 	struct lapse_walk walk = { cs, now };
 
-	if (in_lapse_grace(cs, now))
-		registry_each(cs->registry, keep_if_missing, &walk);
+	registry_each(cs->registry, keep_if_missing, &walk);
 	registry_list_end(cs->registry, cs->report_revision, now);
 	steer_log_target_changes(cs->steer);
 }
@@ -231,7 +242,18 @@
 
 	if (withdrawn)
 		g_hash_table_add(cs->withdrawn_listed, GUINT_TO_POINTER(sym));
-	set_withdrawn(cs, sym, withdrawn, now);
+	if (!kept_withdrawal(cs, sym, withdrawn, STORE_VERSION_NONE, withdrawn))
+		set_withdrawn(cs, sym, withdrawn, now);
+}
+
+void control_state_put_withdrawal(struct control_state *cs, const char *data_centre,
+				  struct store_version revision, struct timespec now)
+{
+	uint32_t sym = symbols_intern(&cs->symbols, data_centre);
+
+	g_hash_table_add(cs->withdrawn_listed, GUINT_TO_POINTER(sym));
+	if (!kept_withdrawal(cs, sym, true, revision, true))
+		set_withdrawn(cs, sym, true, now);
 }
 
 void control_state_withdrawals_begin(struct control_state *cs)
@@ -244,8 +266,11 @@
 	GList *withdrawn = g_hash_table_get_keys(cs->placing.withdrawn);
 
 	for (GList *link = withdrawn; link; link = link->next) {
-		if (!g_hash_table_contains(cs->withdrawn_listed, link->data))
-			set_withdrawn(cs, GPOINTER_TO_UINT(link->data), false, now);
+		uint32_t sym = GPOINTER_TO_UINT(link->data);
+
+		if (!g_hash_table_contains(cs->withdrawn_listed, link->data) &&
+		    !kept_withdrawal(cs, sym, false, STORE_VERSION_NONE, true))
+			set_withdrawn(cs, sym, false, now);
 	}
 	g_list_free(withdrawn);
 }
--- a/beliefs.h
+++ b/beliefs.h
@@ -8,6 +8,7 @@
 #define CONTROL_STATE_H
 
 #include "edge-counters.h"
+#include "kept.h"
 #include "placing.h"
 #include "registry.h"
 #include "routing.h"
@@ -35,6 +36,7 @@
 	struct steer *steer;
 	struct edge_counters counters;
 	GHashTable *lapsed;    /* GString id to struct timespec: when the target is removed */
+	struct kept kept;      /* newer than a store that was restored from an older copy */
 	GHashTable *malformed; /* names of malformed entries that were logged */
 	uint64_t withdrawals;  /* changes of the set of withdrawn data centres */
 	struct store_version withdrawals_revision; /* of the answer with the latest change */
@@ -105,6 +107,9 @@
 void control_state_commit_config(struct control_state *cs, struct timespec now);
 void control_state_withdraw(struct control_state *cs, const char *data_centre, bool withdrawn,
 			    struct timespec now);
+/* Likewise for an entry at @revision that withdraws a data centre. */
+void control_state_put_withdrawal(struct control_state *cs, const char *data_centre,
+				  struct store_version revision, struct timespec now);
 /* A whole list of withdrawn data centres; those not withdrawn in between are in use again. */
 void control_state_withdrawals_begin(struct control_state *cs);
 void control_state_withdrawals_end(struct control_state *cs, struct timespec now);
--- a/edge-counters.h
+++ b/edge-counters.h
@@ -35,6 +35,9 @@
 	X(store_calls, "calls to the platform's store")                                            \
 	X(store_errors, "calls to the platform's store that failed")                               \
 	X(entries_malformed, "entries of the store that could not be used")                        \
+	X(store_eras, "restores of the store from an older copy that were seen")                   \
+	X(entries_kept, "entries kept because those of a restored store are older")                \
+	X(entries_reverted, "kept entries that were reverted to the state of a restored store")    \
 	X(send_lost, "packets that the kernel did not accept for sending")                         \
 	X(log_lines, "log lines written")                                                          \
 	X(log_lines_limited, "log lines suppressed by the rate limit")                             \
--- a/httpcall.c
+++ b/httpcall.c
@@ -7,6 +7,8 @@
 #include "address.h"
 
 #define BODY_PART_BYTES 4096
+/* A longer value of a header is treated as an empty one. */
+#define HEADER_MAX_BYTES 64
 
 struct http_client {
 	struct lws_context *context;
@@ -24,6 +26,8 @@
 	GString *body;
 	GString *response;
 	size_t sent;
+	char header[HEADER_MAX_BYTES]; /* value of req.header */
+	bool has_header;
 	unsigned int status;
 	enum http_error error; /* reported when the connection closes */
 	bool complete;
@@ -87,13 +91,16 @@
 	void (*done)(void *, const struct http_response *) = call->req.done;
 	void *arg = call->req.arg;
 	GString *body = call->response;
+	char header[HEADER_MAX_BYTES];
 	struct http_response response = {
 		.error = error,
 		.status = call->status,
 		.body = call->req.chunk ? NULL : body->str,
 		.len = body->len,
+		.header = call->has_header ? header : NULL,
 	};
 
+	memcpy(header, call->header, sizeof(header));
 	call->response = g_string_new(NULL);
 	release_call(call);
 	done(arg, &response);
@@ -187,6 +194,17 @@
 	lws_sul_schedule(call->client->context, 0, &call->timer, on_deferred_end, 1);
 }
 
+static void read_header(struct http_call *call, struct lws *wsi)
+{
+	const char *name = call->req.header;
+	int len = name ? (int)strlen(name) : 0;
+
+	call->has_header = name && lws_hdr_custom_length(wsi, name, len) >= 0;
+	if (call->has_header &&
+	    lws_hdr_custom_copy(wsi, call->header, sizeof(call->header), name, len) < 0)
+		call->header[0] = 0;
+}
+
 static int on_event(struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in,
 		    size_t len)
 {
@@ -211,6 +229,7 @@
 	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
 		call->status = lws_http_client_http_response(wsi);
 		call->error = HTTP_CONNECTION_LOST;
+		read_header(call, wsi);
 		if (call->req.opened)
 			call->req.opened(call->req.arg, call->status);
 		return lws_get_opaque_user_data(wsi) ? 0 : -1;
--- a/httpcall.h
+++ b/httpcall.h
@@ -28,6 +28,7 @@
 	unsigned int status; /* 0 unless the headers arrived */
 	const char *body;    /* 0-terminated; NULL when @chunk was given */
 	size_t len;
+	const char *header; /* value of http_request.header; NULL if it is missing */
 };
 
 struct http_request {
@@ -38,6 +39,7 @@
 	size_t len;
 	uint32_t deadline_ms;
 	size_t max_response_bytes;
+	const char *header; /* optional: name, in lower case and with ":", of a header to return */
 	/* Optional: the headers of the response arrived. May cancel the call. */
 	void (*opened)(void *arg, unsigned int status);
 	/* Optional: receives the body in parts, for endless responses. May cancel the call. */
--- a/relay-internal.h
+++ b/relay-internal.h
@@ -50,6 +50,8 @@
 	struct view_progress progress;
 	struct timespec started;
 	struct timespec join_started; /* time of the first request to the reader */
+	int64_t era;		      /* of the store, when the own entry was checked last */
+	struct timespec behind_since; /* the reader's pages are behind; 0 while they are not */
 	struct timespec last_page;    /* time of the latest page that continues the known data */
 	struct timespec last_request; /* time of the latest request */
 	struct timespec next_request;
--- a/relay-reader.c
+++ b/relay-reader.c
@@ -133,8 +133,19 @@
 			GPtrArray **changed, bool heartbeat)
 {
 	const struct control_state *cs = relay->opts.control_state;
+	struct store_version complete = cs->complete[CONTROL_TARGETS];
 	struct store_version base = view_base_revision(cs, fol->sent_revision);
 
+	/*
+	 * After a restore of the store all followers need a whole list. They request it at their
+	 * own pace when this page shows the new era: 60 lists at once would fill a slow link.
+	 */
+	if (fol->sent_revision.order &&
+	    store_version_era(fol->sent_revision) < store_version_era(complete)) {
+		base = complete;
+		heartbeat = true;
+	}
+
 	if (!*changed || store_version_cmp(range->base, base) != 0) {
 		if (*changed)
 			g_ptr_array_unref(*changed);
--- a/relay.c
+++ b/relay.c
@@ -284,6 +284,7 @@
 	relay->reader = *entry;
 	relay->session = random_session(relay);
 	relay->last_page = (struct timespec){ 0 };
+	relay->behind_since = (struct timespec){ 0 };
 	relay->join_started = relay->now;
 	view_progress_reset(&relay->progress);
 	relay_channel_open(relay, &relay->to_reader, &follower_ops, entry->key);
@@ -312,6 +313,32 @@
 	become_reader(relay, "registered");
 }
 
+/*
+ * Whether this reader is registered, or another instance has been since the store was restored. An
+ * entry that is missing, or is one from before, shows a copy that is older than the own one.
+ */
+static bool still_registered(const struct relay *relay, const struct reader_entry *entry)
+{
+	const struct kept *kept = &relay->opts.control_state->kept;
+
+	if (!kept->active)
+		return true;
+	return entry && (endpoint_equal(entry->ep, relay->opts.self) ||
+			 store_version_cmp(entry->revision, kept->first) > 0);
+}
+
+/* Registers this reader in place of an older entry; its followers are kept. */
+static void claim_again(struct relay *relay, struct store_version revision)
+{
+	if (!can_be_reader(relay) || relay->claim_pending) {
+		schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
+		return;
+	}
+	relay->own_entry.revision = revision;
+	relay->claim_pending = true;
+	relay->opts.upstream->ops->claim(relay->opts.upstream, &relay->own_entry);
+}
+
 void relay_lookup_done(struct relay *relay, bool ok, const struct reader_entry *entry,
 		       struct timespec now)
 {
@@ -322,6 +349,10 @@
 	relay->lookup_done = true;
 	if (relay->stopping || relay->role == RELAY_FOLLOWING || relay->role == RELAY_JOINING)
 		return;
+	if (relay->role == RELAY_READING && ok && !still_registered(relay, entry)) {
+		claim_again(relay, entry ? entry->revision : STORE_VERSION_NONE);
+		return;
+	}
 	if (entry && endpoint_equal(entry->ep, relay->opts.self)) {
 		resume_as_reader(relay, entry);
 	} else if (entry && entry->ep.port &&
@@ -339,6 +370,10 @@
 {
 	relay->now = now;
 	relay->claim_pending = false;
+	if (relay->role == RELAY_READING && !claimed) {
+		relay->lookup_fresh = true;
+		schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
+	}
 	if (relay->role != RELAY_ALONE)
 		return;
 	if (claimed) {
@@ -424,6 +459,17 @@
 	}
 }
 
+/* A reader that stays behind, as in an era before, is left. One that is joined has join_timer(). */
+static void handle_behind(struct relay *relay)
+{
+	if (relay->role != RELAY_FOLLOWING)
+		return;
+	if (!relay->behind_since.tv_sec)
+		relay->behind_since = relay->now;
+	else if (ts_diff_ms(relay->now, relay->behind_since) >= JOIN_BEHIND_TIMEOUT_MS)
+		fall_back_to_store(relay, "behind");
+}
+
 static void handle_page(struct relay *relay, const peer_view_page *page)
 {
 	struct control_state *cs = relay->opts.control_state;
@@ -446,7 +492,13 @@
 	/* A reader whose pages cannot be applied is left like one that sends none. */
 	if (res != VIEW_GAP)
 		relay->last_page = relay->now;
-	if (res == VIEW_BEHIND)
+	if (res == VIEW_BEHIND) {
+		handle_behind(relay);
+		return;
+	}
+	relay->behind_since = (struct timespec){ 0 };
+	/* The next request, which is due within a second, is answered with a whole list. */
+	if (res == VIEW_NEW_ERA)
 		return;
 	request_missing_pages(relay, page, res);
 	if (res == VIEW_COMPLETE && reader_data_is_stale(page))
@@ -492,9 +544,24 @@
 		relay->counters.peer_unauthentic++;
 }
 
+/* The entry of this reader may not be in the copy from which the store was restored. */
+static void check_entry_in_new_era(struct relay *relay)
+{
+	const struct kept *kept = &relay->opts.control_state->kept;
+
+	if (relay->era == kept->era)
+		return;
+	relay->era = kept->era;
+	if (relay->role != RELAY_READING || !kept->active)
+		return;
+	relay->lookup_fresh = true;
+	schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
+}
+
 void relay_control_state_changed(struct relay *relay, struct timespec now)
 {
 	relay->now = now;
+	check_entry_in_new_era(relay);
 	if (relay->role == RELAY_READING)
 		relay_reader_send_updates(relay, false);
 	else if (relay->role == RELAY_FOLLOWING && relay->reader_store_lost)
@@ -540,9 +607,17 @@
 		send_request(relay);
 }
 
+static bool lookup_is_due(const struct relay *relay)
+{
+	return relay->next_lookup.tv_sec && !relay->stopping &&
+	       ts_cmp(relay->now, relay->next_lookup) >= 0;
+}
+
 static void reading_timer(struct relay *relay)
 {
 	relay_reader_timer(relay);
+	if (lookup_is_due(relay) && !relay->lookup_pending)
+		lookup_reader(relay);
 	if (relay_followers(relay))
 		relay->no_follower_since = relay->now;
 	else if (!relay->lookup_pending && !relay->stopping &&
@@ -552,12 +627,6 @@
 	}
 }
 
-static bool lookup_is_due(const struct relay *relay)
-{
-	return relay->next_lookup.tv_sec && !relay->stopping &&
-	       ts_cmp(relay->now, relay->next_lookup) >= 0;
-}
-
 void relay_timer(struct relay *relay, struct timespec now)
 {
 	relay->now = now;
--- a/snapshot.c
+++ b/snapshot.c
@@ -218,10 +218,10 @@
 {
 	json_object *root = snap->text.root;
 
-	if (!cs->known[CONTROL_CONFIG])
-		apply_config(root, cs, now);
 	control_state_begin_answer(
 		cs, (struct store_version){ (int64_t)json_num(root, "revision") }, now);
+	if (!cs->known[CONTROL_CONFIG])
+		apply_config(root, cs, now);
 	for (size_t i = 0; !cs->known[CONTROL_TARGETS] && i < json_len(root, "targets"); i++)
 		apply_target(json_item(root, "targets", i), cs, now);
 	for (size_t i = 0; !cs->known[CONTROL_WITHDRAWALS] && i < json_len(root, "withdrawn"); i++)
--- a/view.c
+++ b/view.c
@@ -160,9 +160,15 @@
 
 struct store_version view_base_revision(const struct control_state *cs, struct store_version known)
 {
-	return store_version_cmp(known, registry_freed_revision(cs->registry)) < 0
-		       ? STORE_VERSION_NONE
-		       : known;
+	struct store_version complete = cs->complete[CONTROL_TARGETS];
+
+	/* Behind the receiver in the store's era: the page shows it. */
+	if (store_version_era(known) > store_version_era(complete))
+		return complete;
+	if (store_version_cmp(known, registry_freed_revision(cs->registry)) < 0 ||
+	    store_version_era(known) < store_version_era(complete))
+		return STORE_VERSION_NONE;
+	return known;
 }
 
 bool view_write(const struct control_state *cs, const struct view_range *range, struct timespec now,
@@ -271,6 +277,7 @@
 	};
 
 	if (tgt->flags & PEER_VIEW_GONE) {
+		kept_forget_target(cs, tgt->id);
 		registry_remove(cs->registry, tgt->id, cs->report_revision, now);
 		return;
 	}
@@ -304,6 +311,12 @@
 	return !*page->after && (int64_t)page->base <= cs->complete[CONTROL_TARGETS].order;
 }
 
+static bool is_new_era(const struct control_state *cs, const peer_view_page *page)
+{
+	return store_version_era(version_of(page->targets_revision)) >
+	       store_version_era(cs->complete[CONTROL_TARGETS]);
+}
+
 static void begin_series(struct control_state *cs, struct view_progress *vp,
 			 const peer_view_page *page)
 {
@@ -356,7 +369,7 @@
 	cs->config_min_version = MAX(cs->config_min_version, page->config_version);
 	if (!continues_series(vp, page)) {
 		if (!begins_series(cs, page))
-			return VIEW_GAP;
+			return is_new_era(cs, page) ? VIEW_NEW_ERA : VIEW_GAP;
 		begin_series(cs, vp, page);
 	}
 	control_state_begin_answer(cs, version_of(page->targets_revision), now);
--- a/view.h
+++ b/view.h
@@ -24,8 +24,9 @@
 };
 
 /*
- * Returns the revision from which to send changes to an instance that is complete up to @known: 0,
- * for a whole list, if removed targets have been deleted from the registry since.
+ * Returns the revision from which to send changes to an instance that is complete up to @known:
+ * none, for a whole list, if removed targets have been deleted from the registry since, or if it is
+ * of an era before.
  */
 struct store_version view_base_revision(const struct control_state *cs, struct store_version known);
 
@@ -47,6 +48,7 @@
 	VIEW_MALFORMED,
 	VIEW_GAP,      /* a page before this one is missing */
 	VIEW_BEHIND,   /* the reader is at an older revision than this instance */
+	VIEW_NEW_ERA,  /* the store's era is a new one: a whole list is required */
 	VIEW_APPLIED,  /* applied; further pages follow */
 	VIEW_COMPLETE, /* applied; the series is complete */
 };
