relay: register a reader again whose entry a restore has lost

The entry of a reader may be missing from the copy, or name an instance that read before. A reader with followers writes its entry again, with its key, on the condition that the entry is unchanged; one that was paused and has no followers left yields to the registered one.

--- a/beliefs.c
+++ b/beliefs.c
@@ -171,7 +171,10 @@
 	    !registry_put(cs->registry, &with_revision, now))
 		return;
 	key = g_string_new(info->id);
-	g_hash_table_remove(cs->lapsed, key);
+	/* Followers keep it as lapsed until they are sent it again. */
+	if (g_hash_table_remove(cs->lapsed, key))
+		registry_touch(cs->registry, registry_by_id(cs->registry, info->id),
+			       cs->report_revision);
 	g_string_free(key, TRUE);
 }
 
@@ -273,6 +276,7 @@
 			set_withdrawn(cs, sym, false, now);
 	}
 	g_list_free(withdrawn);
+	kept_withdrawals_end(cs);
 }
 
 void control_state_store_answered(struct control_state *cs, enum control_kind kind,
--- a/kept.c
+++ b/kept.c
@@ -151,9 +151,11 @@
 	if (!cs->kept.active || !store_version_known(info->revision))
 		return false;
 	tgt = registry_by_id(cs->registry, info->id);
-	if (tgt && is_same(tgt, info) &&
-	    store_version_era(tgt->revision) < store_version_era(info->revision)) {
-		/* Not a change, so followers need not be sent it again. */
+	if (tgt && is_same(tgt, info) && may_be_older(&cs->kept, info->revision, tgt->revision)) {
+		/*
+		 * Not a change: followers need not be sent it again. One that was written again is,
+		 * because it ends their wait.
+		 */
 		tgt->revision = info->revision;
 		tgt->in_list = true;
 		kept_forget_target(cs, info->id);
@@ -231,6 +233,23 @@
 	return false;
 }
 
+void kept_withdrawals_end(struct control_state *cs)
+{
+	struct kept *kept = &cs->kept;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, kept->changed);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct store_version *version = value;
+
+		if (!g_hash_table_contains(cs->withdrawn_listed, key) &&
+		    !placing_is_withdrawn(&cs->placing, GPOINTER_TO_UINT(key)))
+			*version = store_version_max(*version, cs->report_revision);
+	}
+}
+
 static void apply_older(struct control_state *cs, struct kept *kept, struct timespec now)
 {
 	GHashTableIter iter;
--- a/kept.h
+++ b/kept.h
@@ -53,6 +53,9 @@
 bool kept_withdrawal(struct control_state *cs, uint32_t data_centre, bool withdrawn,
 		     struct store_version version, bool listed);
 
+/* A whole list of withdrawals has ended: what it does not list is confirmed as given back. */
+void kept_withdrawals_end(struct control_state *cs);
+
 /* Ends the period when it is over: applies the store's states. */
 void kept_timer(struct control_state *cs, struct timespec now);
 
--- a/relay-internal.h
+++ b/relay-internal.h
@@ -94,6 +94,20 @@
 bool relay_is_confirmed(const struct relay *relay);
 void relay_set_role(struct relay *relay, enum relay_role role, const char *why);
 
+/* Functions for a store that was restored from an older copy, in relay-era.c. */
+/*
+ * Whether the entry that the store shows, NULL for none, is from before this reader was registered.
+ * One that was written after the restore is not: its instance is the reader.
+ */
+bool relay_entry_is_older(const struct relay *relay, const struct reader_entry *entry);
+/*
+ * Registers this reader with its key in place of an older entry, NULL for none; its followers are
+ * kept. Returns whether the claim was started.
+ */
+bool relay_claim_again(struct relay *relay, const struct reader_entry *entry);
+/* Whether the store was restored since the last call, so that a reader must check its entry. */
+bool relay_entry_may_be_lost(struct relay *relay);
+
 /* Functions of the reader, in relay-reader.c. */
 extern const struct peer_handler_ops relay_reader_ops;
 /* Sends changes to the followers; with @heartbeat, a page even if nothing has changed. */
--- a/relay.c
+++ b/relay.c
@@ -40,6 +40,12 @@
 #define LOOKUP_RETRY_MS 100
 /* Interval at which a reader without followers checks that its entry still names it. */
 #define ENTRY_CHECK_INTERVAL_MS 10000
+/*
+ * Time from a restore of the store to the check of a reader's entry: longer than a follower is
+ * kept, so that a reader that was paused has none by then and yields to the one that has replaced
+ * it.
+ */
+#define ENTRY_RECLAIM_MS 4000
 /* The store answers an idle watch after 2.5 s; a watch without an answer fails 0.7 s later. */
 #define READER_DATA_MAX_AGE_MS 3500
 /*
@@ -313,32 +319,6 @@
 	become_reader(relay, "registered");
 }
 
-/*
- * Whether this reader is registered, or another instance has been since the store was restored. An
- * entry that is missing, or is one from before, shows a copy that is older than the own one.
- */
-static bool still_registered(const struct relay *relay, const struct reader_entry *entry)
-{
-	const struct kept *kept = &relay->opts.control_state->kept;
-
-	if (!kept->active)
-		return true;
-	return entry && (endpoint_equal(entry->ep, relay->opts.self) ||
-			 store_version_cmp(entry->revision, kept->first) > 0);
-}
-
-/* Registers this reader in place of an older entry; its followers are kept. */
-static void claim_again(struct relay *relay, struct store_version revision)
-{
-	if (!can_be_reader(relay) || relay->claim_pending) {
-		schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
-		return;
-	}
-	relay->own_entry.revision = revision;
-	relay->claim_pending = true;
-	relay->opts.upstream->ops->claim(relay->opts.upstream, &relay->own_entry);
-}
-
 void relay_lookup_done(struct relay *relay, bool ok, const struct reader_entry *entry,
 		       struct timespec now)
 {
@@ -349,8 +329,9 @@
 	relay->lookup_done = true;
 	if (relay->stopping || relay->role == RELAY_FOLLOWING || relay->role == RELAY_JOINING)
 		return;
-	if (relay->role == RELAY_READING && ok && !still_registered(relay, entry)) {
-		claim_again(relay, entry ? entry->revision : STORE_VERSION_NONE);
+	if (relay->role == RELAY_READING && ok && relay_entry_is_older(relay, entry)) {
+		if (!relay_claim_again(relay, entry))
+			schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
 		return;
 	}
 	if (entry && endpoint_equal(entry->ep, relay->opts.self)) {
@@ -544,24 +525,13 @@
 		relay->counters.peer_unauthentic++;
 }
 
-/* The entry of this reader may not be in the copy from which the store was restored. */
-static void check_entry_in_new_era(struct relay *relay)
-{
-	const struct kept *kept = &relay->opts.control_state->kept;
-
-	if (relay->era == kept->era)
-		return;
-	relay->era = kept->era;
-	if (relay->role != RELAY_READING || !kept->active)
-		return;
-	relay->lookup_fresh = true;
-	schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
-}
-
 void relay_control_state_changed(struct relay *relay, struct timespec now)
 {
 	relay->now = now;
-	check_entry_in_new_era(relay);
+	if (relay_entry_may_be_lost(relay)) {
+		relay->lookup_fresh = true;
+		schedule_lookup(relay, ENTRY_RECLAIM_MS, LOOKUP_RETRY_MS);
+	}
 	if (relay->role == RELAY_READING)
 		relay_reader_send_updates(relay, false);
 	else if (relay->role == RELAY_FOLLOWING && relay->reader_store_lost)
@@ -616,7 +586,8 @@
 static void reading_timer(struct relay *relay)
 {
 	relay_reader_timer(relay);
-	if (lookup_is_due(relay) && !relay->lookup_pending)
+	if (relay->opts.control_state->kept.active && lookup_is_due(relay) &&
+	    !relay->lookup_pending)
 		lookup_reader(relay);
 	if (relay_followers(relay))
 		relay->no_follower_since = relay->now;
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -73,7 +73,15 @@
 	bool withdrawn;
 	unsigned int nr_withdrawn_more; /* data centres without targets, withdrawn too */
 	struct reader_entry entry;	/* revision 0 for none */
-	bool lose_claims;		/* claims are applied, but their answers are lost */
+	struct store_copy {
+		guint nr_changes;
+		int64_t revision;
+		uint64_t config_version;
+		bool withdrawn;
+		unsigned int nr_withdrawn_more;
+		struct reader_entry entry;
+	} copy;		  /* of the store, for a restore */
+	bool lose_claims; /* claims are applied, but their answers are lost */
 	GPtrArray *sent;
 	bool link_cut[MAX_NODES][MAX_NODES];
 	unsigned int loss_percent;
@@ -441,6 +449,30 @@
 	}
 }
 
+static void take_copy(struct sim *sim)
+{
+	sim->copy =
+		(struct store_copy){ sim->changes->len, sim->revision,		sim->config_version,
+				     sim->withdrawn,	sim->nr_withdrawn_more, sim->entry };
+}
+
+/* The store is restored from its copy. */
+static void drill(struct sim *sim)
+{
+	const struct store_copy *copy = &sim->copy;
+
+	g_array_set_size(sim->changes, copy->nr_changes);
+	sim->era++;
+	sim->revision = copy->revision;
+	sim->config_version = copy->config_version;
+	sim->withdrawn = copy->withdrawn;
+	sim->nr_withdrawn_more = copy->nr_withdrawn_more;
+	sim->entry = copy->entry;
+	if (store_version_known(sim->entry.revision))
+		sim->entry.revision =
+			sim_version(sim, store_version_revision(copy->entry.revision));
+}
+
 static enum relay_role role_named(const char *name)
 {
 	for (int i = 0; i < ROLES; i++) {
@@ -580,6 +612,10 @@
 	} else if (!strcmp(cmd, "put-long-names")) {
 		put_long_names(sim, (unsigned int)g_ascii_strtoull(words[1], NULL, 10),
 			       (unsigned int)g_ascii_strtoull(words[2], NULL, 10));
+	} else if (!strcmp(cmd, "copy")) {
+		take_copy(sim);
+	} else if (!strcmp(cmd, "drill")) {
+		drill(sim);
 	} else if (!strcmp(cmd, "drain")) {
 		change_target(sim, words[1], true, false);
 	} else if (!strcmp(cmd, "remove")) {
@@ -750,6 +786,72 @@
 		"roles reading 1; roles following 7" },
 };
 
+/*
+ * The store is restored from a copy. Guards against instances that revert to the copy's states, and
+ * against those that take new revisions for ones that they have. Between "copy" and "drill" are the
+ * writes that the store loses; "put z" moves it beyond the revisions that it has lost.
+ */
+static const struct script era_scripts[] = {
+	/* Written again within the period; targets stay as they were all the time. */
+	{ "drain-written-again",
+	  FLEET "copy; drain a; run 500; each target a draining; drill; run 3000; "
+		"each target a draining; put z; run 300; drain a; run 12000; "
+		"each target a draining; each target z ready" },
+	{ "drain-not-written-again",
+	  FLEET "copy; drain a; run 500; drill; run 9000; each target a draining; run 4000; "
+		"each target a ready" },
+	{ "left", FLEET "copy; remove b; run 500; drill; run 9000; each target b gone; remove b; "
+			"run 4000; each target b gone" },
+	{ "left-not-written-again",
+	  FLEET "copy; remove b; run 500; drill; run 9000; each target b gone; run 4000; "
+		"each target b ready" },
+	{ "not-in-the-copy",
+	  FLEET "copy; put n; run 500; drill; run 5000; each target n ready; put n; run 12000; "
+		"each target n ready" },
+	{ "not-in-the-copy-nor-written-again",
+	  FLEET "copy; put n; run 500; drill; run 9000; each target n ready; run 4000; "
+		"each target n gone" },
+	{ "config", FLEET "config 8; copy; config 9; run 500; drill; run 30000; each config 9; "
+			  "config 10; run 500; each config 10" },
+	{ "withdrawn", FLEET "copy; withdraw; run 500; drill; run 9000; each withdrawn yes; "
+			     "withdraw; run 5000; each withdrawn yes" },
+	{ "given-back", FLEET "withdraw; run 500; copy; restore; run 500; drill; run 9000; "
+			      "each withdrawn no; run 5000; each withdrawn yes" },
+	{ "withdrawn-after", FLEET "withdraw; run 500; restore; run 500; copy; put z; run 500; "
+				   "drill; run 2000; withdraw; run 500; each withdrawn yes" },
+	/* Revisions that were assigned again must not look like known ones. */
+	{ "other-changes-at-the-same-revisions",
+	  FLEET "copy; put x; put y; run 500; drill; drain b; remove a; run 2000; "
+		"each target b draining; each target x ready; run 12000; each target a gone; "
+		"each target x gone" },
+	{ "outage",
+	  FLEET "copy; drain a; run 500; refuse-all; run 5000; drill; serve-all; run 4000; "
+		"each target a draining; run 16000; each target a ready; roles reading 1" },
+	{ "twice", FLEET "copy; drain a; run 500; drill; run 3000; each target a draining; drill; "
+			 "run 9000; each target a draining; run 4000; each target a ready" },
+	{ "reader-paused",
+	  FLEET "copy; drain a; run 500; freeze reader; drill; run 4000; each target a draining; "
+		"put z; drain a; wake-all; run 16000; each target a draining; roles reading 1" },
+	{ "reader-killed",
+	  FLEET "copy; drain a; run 500; drill; kill reader; run 4000; each target a draining; "
+		"run 8000; put z; run 1500; each target z ready; roles reading 1" },
+	{ "planned-stop", FLEET "copy; drain a; run 500; stop reader; drill; run 700; "
+				"each target a draining; kill last; run 8000; roles reading 1" },
+	{ "start-of-the-fleet",
+	  "put a; config 3; copy; drain a; boot 0 7; run 400; drill; run 6000; "
+	  "each target a draining; each ready; run 8000; roles reading 1" },
+	/* The entry of the reader is not in the copy; followers stay with it and it registers. */
+	{ "reader-entry-lost",
+	  "put a; config 3; copy; boot 0 7; run 6000; roles reading 1; drill; run 5000; "
+	  "roles reading 1; roles following 7; boot 8 11; run 1000; roles following 11" },
+	/* Three lists instead of watches, one lookup and one claim: 4 calls more than without. */
+	{ "followers-do-not-call-the-store", FLEET
+	  "copy; many; run 1500; drill; count; run 3000; calls-below 100; each target m000 ready; "
+	  "roles following 7" },
+	{ "loss", FLEET "loss 20; copy; drain a; run 2000; drill; run 5000; loss 0; run 2000; "
+			"each target a draining; put z; run 400; each target z ready" },
+};
+
 static void test_script(gconstpointer data)
 {
 	const struct script *script = data;
@@ -871,6 +973,12 @@
 		g_test_add_data_func(path, &scripts[i], test_script);
 		g_free(path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(era_scripts); i++) {
+		char *path = g_strconcat("/era/", era_scripts[i].name, NULL);
+
+		g_test_add_data_func(path, &era_scripts[i], test_script);
+		g_free(path);
+	}
 	g_test_add_func("/relay/largest-page", test_largest_page);
 	return g_test_run();
 }
