store: test restores by random histories; mend what they found

/era/histories runs random histories of writes, restores, cut links, pauses and restarts and checks that no instance acts on a state older than one that it has acted on, other than after the period, and that all end with what the store holds. Found and mended: withdrawals that a reader keeps overrode those that a follower had seen written again; targets that a reader keeps came back on a follower that knew of their removal; a follower that changed its reader during the period missed what its former reader had kept. A follower now requests a whole list from its reader when its own period has ended.

--- a/beliefs.c
+++ b/beliefs.c
@@ -145,7 +145,13 @@
 void control_state_complete(struct control_state *cs, enum control_kind kind,
 			    struct store_version revision)
 {
-	cs->complete[kind] = store_version_max(cs->complete[kind], revision);
+	/*
+	 * Pages show the withdrawals as a whole. While some are kept they count as of the era
+	 * before, so that an instance that has seen them written again does not take the older
+	 * ones.
+	 */
+	if (kind != CONTROL_WITHDRAWALS || !g_hash_table_size(cs->kept.withdrawn))
+		cs->complete[kind] = store_version_max(cs->complete[kind], revision);
 	cs->known[kind] = true;
 }
 
@@ -214,6 +220,7 @@
 
 	registry_each(cs->registry, keep_if_missing, &walk);
 	registry_list_end(cs->registry, cs->report_revision, now);
+	cs->kept.relist = false;
 	steer_log_target_changes(cs->steer);
 }
 
--- a/kept.c
+++ b/kept.c
@@ -50,9 +50,10 @@
 
 	if (store_version_era(version) <= kept->era)
 		return;
-	if (anything_known(cs)) {
-		kept->active = true;
-		kept->end = ts_add_ms(now, ERA_KEEP_MS);
+	kept->known = anything_known(cs);
+	kept->active = true;
+	kept->end = ts_add_ms(now, ERA_KEEP_MS);
+	if (kept->known) {
 		/* Entries may have expired during the outage, as after any other. */
 		cs->store_regained = now;
 		cs->counters.store_eras++;
@@ -63,17 +64,22 @@
 	}
 	kept->era = store_version_era(version);
 	kept->first = version;
+	kept->paged = false;
+	kept->relist = false;
 	/* The new era's answers show these states again where they are still older. */
 	g_hash_table_remove_all(kept->targets);
 	g_hash_table_remove_all(kept->withdrawn);
 }
 
-/* Whether @version is from this era's copy, or may be, and @known is from an era before. */
+/*
+ * Whether @version is, or may be, from the copy that began this era, or from that of an era after
+ * @known's which has passed unseen or in which another instance has kept it.
+ */
 static bool may_be_older(const struct kept *kept, struct store_version version,
 			 struct store_version known)
 {
-	return kept->active && store_version_era(version) == kept->era &&
-	       store_version_era(known) < kept->era && store_version_cmp(version, kept->first) <= 0;
+	return kept->active && store_version_era(known) < store_version_era(version) &&
+	       store_version_cmp(version, kept->first) <= 0;
 }
 
 static bool is_same(const struct reg_target *tgt, const struct target_info *info)
@@ -119,6 +125,10 @@
 
 	if (!tgt)
 		return address_is_taken(cs, info);
+	/* Another instance has kept a target that has left since, as is known here. */
+	if (tgt->phase == TARGET_GONE && store_version_era(info->revision) < cs->kept.era &&
+	    store_version_cmp(info->revision, tgt->revision) <= 0)
+		return true;
 	if (!may_be_older(&cs->kept, info->revision, tgt->revision))
 		return false;
 	/* The entry of a target that has left keeps the revision from before. */
@@ -283,6 +293,7 @@
 	if (!kept->active || ts_cmp(now, kept->end) < 0)
 		return;
 	kept->active = false;
+	kept->relist = kept->paged;
 	kept->reverted = 0;
 	kept->targets = g_hash_table_new_full(gstr_hash, gstr_equal, NULL, free_target);
 	kept->withdrawn = g_hash_table_new(NULL, NULL);
@@ -296,9 +307,10 @@
 	apply_older(cs, &ended, now);
 	cs->report_revision = report;
 	cs->counters.entries_reverted += ended.reverted;
-	decision_log(DECISION_STORE, now, "era=%lld kept=ended targets=%u withdrawals=%u",
-		     (long long)kept->era, g_hash_table_size(ended.targets),
-		     g_hash_table_size(ended.withdrawn));
+	if (kept->known)
+		decision_log(DECISION_STORE, now, "era=%lld kept=ended targets=%u withdrawals=%u",
+			     (long long)kept->era, g_hash_table_size(ended.targets),
+			     g_hash_table_size(ended.withdrawn));
 	g_hash_table_unref(ended.targets);
 	g_hash_table_unref(ended.withdrawn);
 }
--- a/kept.h
+++ b/kept.h
@@ -24,9 +24,17 @@
 	struct store_version first; /* of the first answer in this era */
 	struct timespec end;	    /* of the period */
 	bool active;		    /* the period is running */
+	bool known;		    /* something was known before this era */
 	GHashTable *targets;	    /* id to struct kept_target: the store's older states */
 	GHashTable *withdrawn; /* symbol to whether the store shows the data centre withdrawn */
 	GHashTable *changed;   /* symbol to struct store_version: latest known change */
+	/*
+	 * Pages of this era were applied. Their reader may have kept states for its own period, and
+	 * its successor is not asked for older changes, so a whole list is read when the own period
+	 * has ended; an instance that has started since reads it only from its reader.
+	 */
+	bool paged;
+	bool relist;
 	unsigned int reverted; /* older states that were applied at the end */
 };
 
--- a/relay-era.c
+++ b/relay-era.c
@@ -7,7 +7,7 @@
 	const struct kept *kept = &relay->opts.control_state->kept;
 
 	/* A reader that was paused has no followers left: another one may have registered. */
-	if (!kept->active || !relay_followers(relay))
+	if (!kept->active || !kept->known || !relay_followers(relay))
 		return false;
 	if (!entry)
 		return true;
@@ -24,7 +24,7 @@
 	if (relay->era == kept->era)
 		return false;
 	relay->era = kept->era;
-	return relay->role == RELAY_READING && kept->active;
+	return relay->role == RELAY_READING && kept->active && kept->known;
 }
 
 bool relay_claim_again(struct relay *relay, const struct reader_entry *entry)
--- a/relay.c
+++ b/relay.c
@@ -192,13 +192,15 @@
 
 static void send_request(struct relay *relay)
 {
+	const struct control_state *cs = relay->opts.control_state;
 	bool more = relay->progress.active;
+	struct store_version known =
+		cs->kept.relist ? STORE_VERSION_NONE : cs->complete[CONTROL_TARGETS];
 	peer_msg msg = {
 		.type = PEER_VIEW_QUESTION,
 		.peer_msg_u.view_ask = {
 			.session = relay->session,
-			.base = (uint64_t)(more ? relay->progress.base :
-					   relay->opts.control_state->complete[CONTROL_TARGETS]).order,
+			.base = (uint64_t)(more ? relay->progress.base : known).order,
 			.after = relay->progress.after->str,
 		},
 	};
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -27,6 +27,7 @@
 	char id[16];
 	unsigned int
 		name_bytes; /* length of the target's service and data centre, 0 for usual ones */
+	unsigned int nr;    /* of the write: later writes have higher ones, also after a restore */
 	bool draining;
 	bool removed;
 };
@@ -65,6 +66,8 @@
 	struct seeded_random random;
 	int64_t now_ms;
 	GArray *changes; /* struct change: the history of the store */
+	unsigned int nr_writes;
+	unsigned int nr_lost; /* writes up to this one may have been lost by a restore */
 	int64_t era;
 	int64_t revision;
 	int64_t config_revision;
@@ -230,7 +233,7 @@
 	struct symbols *syms = &node->control_state.symbols;
 	struct target_info info = {
 		.id = chg->id,
-		.wire_id = 7,
+		.wire_id = chg->nr,
 		.ep = { 0x0a800001, 80 },
 		.service = symbols_intern(syms, "web"),
 		.data_centre = symbols_intern(syms, "home"),
@@ -267,7 +270,8 @@
 	const struct sim *sim = node->sim;
 	struct control_state *cs = &node->control_state;
 	struct store_version complete = cs->complete[CONTROL_TARGETS];
-	bool list = !complete.order || store_version_era(complete) < sim->era;
+	bool list = !complete.order || store_version_era(complete) < sim->era ||
+		    (cs->kept.relist && cs->kept.known);
 
 	if (list)
 		control_state_targets_begin(cs);
@@ -428,12 +432,15 @@
 {
 	struct change chg = {
 		.revision = ++sim->revision,
+		.nr = ++sim->nr_writes,
 		.draining = draining,
 		.removed = removed,
 	};
 
 	g_strlcpy(chg.id, id, sizeof(chg.id));
 	g_array_append_val(sim->changes, chg);
+	g_test_message("%lld ms: write %u at revision %lld, %s%s", (long long)sim->now_ms, chg.nr,
+		       (long long)chg.revision, id, removed ? " removed" : "");
 }
 
 /* Adds targets "f0", "f1" and so on, whose service and data centre have names of @bytes. */
@@ -462,6 +469,7 @@
 	const struct store_copy *copy = &sim->copy;
 
 	g_array_set_size(sim->changes, copy->nr_changes);
+	sim->nr_lost = sim->nr_writes;
 	sim->era++;
 	sim->revision = copy->revision;
 	sim->config_version = copy->config_version;
@@ -878,6 +886,292 @@
 	g_free(sim);
 }
 
+#define HISTORY_NODES	5
+#define HISTORY_TARGETS 4
+#define HISTORY_STEPS	24
+#define HISTORIES	40
+
+/* What an instance has acted on. */
+struct acted {
+	uint32_t incarnation;
+	unsigned int latest[HISTORY_TARGETS]; /* latest write of a target */
+	bool left[HISTORY_TARGETS];	      /* the target has left since */
+	bool withdrawn;
+	unsigned int nr_withdrawals; /* written up to the state of @withdrawn, or more */
+};
+
+struct history {
+	struct sim sim;
+	struct acted acted[HISTORY_NODES];
+	int64_t copied_ms; /* 0: no copy */
+	int64_t refused_until_ms;
+	bool withdrawals[HISTORY_STEPS]; /* written, also those that were lost */
+	unsigned int nr_withdrawals;
+};
+
+static const char *target_name(unsigned int nr)
+{
+	static const char *const names[HISTORY_TARGETS] = { "t0", "t1", "t2", "t3" };
+
+	return names[nr];
+}
+
+/* Fails if an instance reverts to an older state, unless the period has ended without the newer. */
+static void check_target_state(const struct history *hist, unsigned int node, unsigned int nr,
+			       struct acted *acted)
+{
+	struct control_state *cs = (struct control_state *)&hist->sim.nodes[node].control_state;
+	const struct reg_target *tgt = registry_by_id(cs->registry, target_name(nr));
+	unsigned int write;
+
+	if (!tgt)
+		return;
+	write = (unsigned int)tgt->wire_id;
+	if (tgt->phase == TARGET_GONE) {
+		acted->left[nr] = true;
+		return;
+	}
+	if (write < acted->latest[nr] || (write == acted->latest[nr] && acted->left[nr])) {
+		g_test_message("%lld ms, instance %u: %s back from write %u to %u, left %d",
+			       (long long)hist->sim.now_ms, node, tgt->id->str, acted->latest[nr],
+			       write, acted->left[nr]);
+		g_assert_cmpuint(acted->latest[nr], <=, hist->sim.nr_lost);
+		g_assert_false(cs->kept.active);
+	}
+	acted->latest[nr] = write;
+	acted->left[nr] = false;
+}
+
+static bool any_period_has_ended(const struct history *hist)
+{
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		const struct node *node = &hist->sim.nodes[i];
+		const struct kept *kept = &node->control_state.kept;
+
+		if (node->up && kept->era == hist->sim.era && !kept->active)
+			return true;
+	}
+	return false;
+}
+
+/* Fails unless a later write than the one acted on explains the new state. */
+static void check_withdrawal(const struct history *hist, struct node *node, struct acted *acted,
+			     bool withdrawn)
+{
+	unsigned int nr = acted->nr_withdrawals;
+
+	g_test_message("%lld ms, instance %u, %s: withdrawn=%d", (long long)hist->sim.now_ms,
+		       node->nr, relay_role_name(relay_role(node->relay)), withdrawn);
+	while (nr < hist->nr_withdrawals && hist->withdrawals[nr] != withdrawn)
+		nr++;
+	if (nr < hist->nr_withdrawals)
+		acted->nr_withdrawals = nr + 1;
+	else if (node->control_state.kept.active)
+		/* Those that were told by another instance follow it to its end. */
+		g_assert_true(any_period_has_ended(hist));
+}
+
+static void check_history(struct history *hist)
+{
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		struct node *node = &hist->sim.nodes[i];
+		struct control_state *cs = &node->control_state;
+		struct acted *acted = &hist->acted[i];
+		bool withdrawn;
+
+		if (!node->up)
+			continue;
+		if (acted->incarnation != node->incarnation)
+			*acted = (struct acted){ .incarnation = node->incarnation };
+		for (unsigned int nr = 0; nr < HISTORY_TARGETS; nr++)
+			check_target_state(hist, i, nr, acted);
+		withdrawn =
+			placing_is_withdrawn(&cs->placing, symbols_intern(&cs->symbols, "home"));
+		if (withdrawn != acted->withdrawn)
+			check_withdrawal(hist, node, acted, withdrawn);
+		acted->withdrawn = withdrawn;
+	}
+}
+
+static void run_history(struct history *hist, int64_t ms)
+{
+	for (int64_t end = hist->sim.now_ms + ms; hist->sim.now_ms < end;) {
+		if (hist->refused_until_ms && hist->sim.now_ms >= hist->refused_until_ms) {
+			hist->refused_until_ms = 0;
+			for (unsigned int i = 0; i < HISTORY_NODES; i++)
+				hist->sim.nodes[i].refused = false;
+		}
+		step(&hist->sim);
+		check_history(hist);
+	}
+}
+
+static unsigned int history_random(struct history *hist, uint32_t limit)
+{
+	return random_below(&hist->sim.random.random, limit);
+}
+
+/* The store is away for up to 5 s and comes back from a copy of up to some seconds. */
+static void drill_in_history(struct history *hist)
+{
+	if (!hist->copied_ms)
+		return;
+	drill(&hist->sim);
+	g_test_message("%lld ms: restored to revision %lld", (long long)hist->sim.now_ms,
+		       (long long)hist->sim.revision);
+	hist->copied_ms = 0;
+	if (history_random(hist, 2))
+		return;
+	hist->refused_until_ms = hist->sim.now_ms + history_random(hist, 5000);
+	for (unsigned int i = 0; i < HISTORY_NODES; i++)
+		hist->sim.nodes[i].refused = true;
+}
+
+static void fail_in_history(struct history *hist)
+{
+	struct sim *sim = &hist->sim;
+	unsigned int nr = history_random(hist, HISTORY_NODES);
+
+	switch (history_random(hist, 5)) {
+	case 0:
+		sim->nodes[nr].frozen = sim->nodes[nr].up;
+		break;
+	case 1:
+		for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+			if (sim->nodes[i].frozen)
+				relay_process_resumed(sim->nodes[i].relay, sim_now(sim));
+			sim->nodes[i].frozen = false;
+		}
+		break;
+	case 2:
+		memset(sim->link_cut[nr], true, sizeof(sim->link_cut[nr]));
+		break;
+	case 3:
+		memset(sim->link_cut, 0, sizeof(sim->link_cut));
+		break;
+	default:
+		if (sim->nodes[nr].frozen)
+			break;
+		end_node(&sim->nodes[nr]);
+		start_node(sim, nr);
+		g_test_message("%lld ms: instance %u restarts", (long long)sim->now_ms, nr);
+	}
+}
+
+static void write_in_history(struct history *hist)
+{
+	struct sim *sim = &hist->sim;
+	unsigned int kind = history_random(hist, 8);
+
+	if (kind == 0) {
+		sim->withdrawn = history_random(hist, 2);
+		hist->withdrawals[hist->nr_withdrawals++] = sim->withdrawn;
+		g_test_message("%lld ms: withdrawn=%d", (long long)sim->now_ms, sim->withdrawn);
+		sim->withdrawn_revision = ++sim->revision;
+	} else if (kind == 1) {
+		sim->config_version += 1 + history_random(hist, 2);
+		sim->config_revision = ++sim->revision;
+	} else {
+		change_target(sim, target_name(history_random(hist, HISTORY_TARGETS)), kind == 2,
+			      kind == 3);
+	}
+}
+
+static void check_end(struct history *hist)
+{
+	struct sim *sim = &hist->sim;
+
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		struct control_state *cs = &sim->nodes[i].control_state;
+
+		g_assert_cmpuint(routing_version(cs->routing), ==, sim->config_version);
+		g_assert_true(
+			placing_is_withdrawn(&cs->placing, symbols_intern(&cs->symbols, "home")) ==
+			sim->withdrawn);
+		for (guint j = 0; j < sim->changes->len; j++) {
+			const struct change *chg = &g_array_index(sim->changes, struct change, j);
+			const struct reg_target *tgt = registry_by_id(cs->registry, chg->id);
+
+			if (!is_latest_change(sim, j))
+				continue;
+			g_test_message("instance %u, %s: write %u%s, known %d", i, chg->id, chg->nr,
+				       chg->removed ? " removes it" : "",
+				       tgt ? (int)tgt->wire_id : -1);
+			g_assert_true((tgt && tgt->phase != TARGET_GONE) == !chg->removed);
+			if (chg->removed)
+				continue;
+			g_assert_cmpuint(tgt->wire_id, ==, chg->nr);
+			g_assert_true((tgt->phase == TARGET_DRAINING) == chg->draining);
+		}
+	}
+}
+
+static void test_history(uint32_t seed)
+{
+	struct history *hist = g_new0(struct history, 1);
+	struct sim *sim = &hist->sim;
+
+	seeded_random_init(&sim->random, seed);
+	sim->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+	sim->sent = g_ptr_array_new_with_free_func(free_datagram);
+	sim->revision = 10;
+	sim->config_version = 1;
+	for (unsigned int i = 0; i < HISTORY_TARGETS; i++)
+		change_target(sim, target_name(i), false, false);
+	for (unsigned int i = 0; i < HISTORY_NODES; i++)
+		start_node(sim, i);
+	run_history(hist, history_random(hist, 6000));
+	for (unsigned int i = 0; i < HISTORY_STEPS; i++) {
+		unsigned int kind = history_random(hist, 10);
+
+		if (kind < 5)
+			write_in_history(hist);
+		else if (kind < 7)
+			fail_in_history(hist);
+		else if (hist->copied_ms)
+			drill_in_history(hist);
+		else
+			take_copy(sim), hist->copied_ms = MAX(sim->now_ms, 1);
+		run_history(hist, history_random(hist, 4) ? history_random(hist, 300)
+							  : history_random(hist, 6000));
+	}
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		if (sim->nodes[i].frozen)
+			relay_process_resumed(sim->nodes[i].relay, sim_now(sim));
+		sim->nodes[i].frozen = false;
+	}
+	memset(sim->link_cut, 0, sizeof(sim->link_cut));
+	run_history(hist, 24000);
+	/* A configuration never reverts, so a newer one shows that all follow the store. */
+	sim->config_version += 100;
+	sim->config_revision = ++sim->revision;
+	run_history(hist, 3000);
+	check_end(hist);
+	for (unsigned int i = 0; i < HISTORY_NODES; i++)
+		end_node(&sim->nodes[i]);
+	g_ptr_array_unref(sim->sent);
+	g_array_unref(sim->changes);
+	g_free(hist);
+}
+
+/*
+ * Random histories of writes, restores, cut links, pauses and restarts. Guards against an instance
+ * that acts on a state older than one that it has acted on, or that does not end with what the
+ * store holds. ERA_HISTORIES sets their number, ERA_SEED the first seed.
+ */
+static void test_histories(void)
+{
+	const char *nr = g_getenv("ERA_HISTORIES");
+	const char *first = g_getenv("ERA_SEED");
+	uint32_t seed = first ? (uint32_t)g_ascii_strtoull(first, NULL, 10) : 1;
+	uint32_t end = seed + (nr ? (uint32_t)g_ascii_strtoull(nr, NULL, 10) : HISTORIES);
+
+	for (; seed < end; seed++) {
+		g_test_message("seed %u", seed);
+		test_history(seed);
+	}
+}
+
 struct applied_pages {
 	struct control_state *control_state;
 	struct view_progress progress;
@@ -979,6 +1273,7 @@
 		g_test_add_data_func(path, &era_scripts[i], test_script);
 		g_free(path);
 	}
+	g_test_add_func("/era/histories", test_histories);
 	g_test_add_func("/relay/largest-page", test_largest_page);
 	return g_test_run();
 }
--- a/view.c
+++ b/view.c
@@ -275,14 +275,30 @@
 		.born_ms = tgt->born_ms,
 		.revision = version_of(tgt->revision),
 	};
+	const struct reg_target *known;
 
 	if (tgt->flags & PEER_VIEW_GONE) {
 		kept_forget_target(cs, tgt->id);
 		registry_remove(cs->registry, tgt->id, cs->report_revision, now);
 		return;
 	}
+	known = registry_by_id(cs->registry, tgt->id);
+	/* The store has not shown it to the reader any more, and its removal is known here. */
+	if (tgt->flags & PEER_VIEW_LAPSED && known && known->phase == TARGET_GONE &&
+	    store_version_cmp(info.revision, known->revision) <= 0)
+		return;
+	/*
+	 * A reader whose period for a restored store has ended has it again at the same revision,
+	 * which only a whole list can show.
+	 */
+	if (page->base && !cs->kept.active && known && known->phase == TARGET_GONE &&
+	    !store_version_cmp(info.revision, known->revision))
+		cs->kept.relist = true;
 	control_state_put_target(cs, &info, now);
-	if (tgt->flags & PEER_VIEW_LAPSED)
+	known = registry_by_id(cs->registry, tgt->id);
+	/* It may have been written again since, as this instance knows. */
+	if (tgt->flags & PEER_VIEW_LAPSED && known &&
+	    store_version_cmp(known->revision, info.revision) <= 0)
 		control_state_lapse_target(cs, tgt->id, tgt->keep_ms, now);
 }
 
@@ -324,6 +340,7 @@
 	vp->active = true;
 	vp->base = version_of(page->base);
 	vp->first_revision = version_of(page->targets_revision);
+	cs->kept.paged = true;
 	if (!page->base)
 		control_state_targets_begin(cs);
 }
