--- a/kept.c
+++ b/kept.c
@@ -192,6 +192,27 @@
 	g_string_free(key, TRUE);
 }
 
+struct era_search {
+	int64_t era;
+	bool found;
+};
+
+static void find_older_era(struct reg_target *tgt, void *arg)
+{
+	struct era_search *search = arg;
+
+	search->found |= tgt->phase != TARGET_GONE && store_version_known(tgt->revision) &&
+			 store_version_era(tgt->revision) < search->era;
+}
+
+bool kept_any_target(const struct control_state *cs)
+{
+	struct era_search search = { cs->kept.era, false };
+
+	registry_each(cs->registry, find_older_era, &search);
+	return search.found;
+}
+
 bool kept_missing_target(const struct control_state *cs, const struct reg_target *tgt)
 {
 	return cs->kept.active && store_version_era(cs->report_revision) == cs->kept.era &&
--- a/kept.h
+++ b/kept.h
@@ -51,6 +51,8 @@
 bool kept_target(struct control_state *cs, const struct target_info *info, struct timespec now);
 /* The entry of a target has disappeared, or a newer one was applied. */
 void kept_forget_target(struct control_state *cs, const char *id);
+/* Whether a target is in its state of an era before: the reader may still keep it. */
+bool kept_any_target(const struct control_state *cs);
 /* Whether a target that is not in a list is kept, because the copy may be older than its entry. */
 bool kept_missing_target(const struct control_state *cs, const struct reg_target *tgt);
 
--- a/t/test-adapter.c
+++ b/t/test-adapter.c
@@ -10,6 +10,7 @@
 #include "edge-settings.h"
 #include "platform/echo-packet.h"
 #include "platform/entries.h"
+#include "platform/era.h"
 
 /* SYN from 100.64.0.7:40001 to 198.18.0.1:443, and the reset that answers it. */
 static const uint8_t opening[] = { 0x44, 0x33, 0x22, 0x11, 0,	 0,    0,    0,	   0xd5, 0xc3, 0xb2,
@@ -284,6 +285,75 @@
 	g_free(path);
 }
 
+struct era_case {
+	const char *name;
+	const char *header; /* NULL for none */
+	int64_t begun;	    /* current era at the start of the call; it is 5 now */
+	bool stale_ok;
+	bool usable;
+	int64_t current; /* afterwards */
+};
+
+static const struct era_case eras[] = {
+	{ "same", "5", 5, true, true, 5 },
+	{ "higher", "6", 5, true, true, 6 },
+	{ "two-higher", "7", 4, false, true, 7 },
+	{ "highest", "32767", 5, false, true, 32767 },
+	/* An answer of the store before its restore would bring back what the restore has lost. */
+	{ "late-answer-of-the-era-before", "4", 4, false, false, 5 },
+	{ "stale-answer-of-the-era-before", "4", 5, true, false, 5 },
+	/* A store whose era goes back must not be ignored for good. */
+	{ "goes-back", "4", 5, false, true, 5 },
+	{ "missing", NULL, 5, false, true, 5 },
+	{ "empty", "", 5, false, true, 5 },
+	{ "text", "five", 5, false, true, 5 },
+	{ "fraction", "6.5", 5, false, true, 5 },
+	{ "negative", "-6", 5, false, true, 5 },
+	{ "too-high", "32768", 5, false, true, 5 },
+	{ "overflow", "99999999999999999999", 5, false, true, 5 },
+};
+
+/* Guards against losing or inventing a restore of the store because of an odd header. */
+static void test_era(gconstpointer data)
+{
+	const struct era_case *c = data;
+	struct era era = { .current = 5, .seen = true };
+
+	for (int i = 0; i < 2; i++) {
+		g_assert_true(era_answer(&era, c->header, c->begun, c->stale_ok,
+					 (struct timespec){ 1, 0 }) == c->usable);
+		g_assert_cmpint(era.current, ==, c->current);
+	}
+}
+
+/* Versions must keep the order of plain revisions in era 0, and order eras before revisions. */
+static void test_version(void)
+{
+	static const struct store_version versions[] = {
+		STORE_VERSION_NONE,
+		{ 1 },
+		{ STORE_REVISION_MAX },
+		{ INT64_C(1) << STORE_REVISION_BITS },
+		{ INT64_C(7) << STORE_REVISION_BITS | 3 },
+		{ INT64_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
+		struct store_version ver = versions[i];
+
+		g_assert_cmpint(
+			store_version_make(store_version_era(ver), store_version_revision(ver))
+				.order,
+			==, ver.order);
+		for (size_t j = 0; j < G_N_ELEMENTS(versions); j++)
+			g_assert_cmpint(store_version_cmp(ver, versions[j]), ==, (i > j) - (i < j));
+	}
+	g_assert_cmpint(store_version_make(0, 17).order, ==, 17);
+	g_assert_cmpint(store_version_make(2, INT64_MAX).order, ==,
+			(INT64_C(3) << STORE_REVISION_BITS) - 1);
+	g_assert_cmpint(store_version_make(2, -1).order, ==, INT64_C(2) << STORE_REVISION_BITS);
+}
+
 #define ADD_CASES(prefix, cases, fn)                                                               \
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                                         \
 		char *path = g_strconcat("/adapter/" prefix "/", (cases)[i].name, NULL);           \
@@ -299,5 +369,12 @@
 	ADD_CASES("entry", entries, test_entry);
 	ADD_CASES("config", configs, test_config);
 	ADD_CASES("settings", settings, test_settings);
+	for (size_t i = 0; i < G_N_ELEMENTS(eras); i++) {
+		char *path = g_strconcat("/era/header/", eras[i].name, NULL);
+
+		g_test_add_data_func(path, &eras[i], test_era);
+		g_free(path);
+	}
+	g_test_add_func("/era/version", test_version);
 	return g_test_run();
 }
--- a/t/test-listing.c
+++ b/t/test-listing.c
@@ -542,6 +542,54 @@
 	}
 }
 
+/*
+ * A restored store: the list of the new era has lower revisions. Guards against it being refused as
+ * older, and against a target that drains or has left being used again.
+ */
+static void test_new_era(void)
+{
+	static const struct {
+		int64_t era;
+		const char *answer;
+		const char *expected_state;
+	} steps[] = {
+		{ 1, PART("20", "false", TARGET("1", "4", "ready") "," TARGET("2", "5", "ready")),
+		  "1=ready 2=ready " },
+		{ 1,
+		  EVENTS("23",
+			 PUT(TARGET("1", "21", "draining")) "," GONE(TARGET("2", "22", "ready"))),
+		  "1=draining 2=gone " },
+		{ 2, PART("10", "false", TARGET("1", "4", "ready") "," TARGET("2", "5", "ready")),
+		  "1=draining 2=gone " },
+		/* Written since the restore, at a revision that was assigned before. */
+		{ 2, EVENTS("12", PUT(TARGET("1", "11", "ready"))), "1=ready 2=gone " },
+		{ 2, EVENTS("21", PUT(TARGET("2", "21", "ready"))), "1=ready 2=ready " },
+	};
+	struct fixture fix;
+	struct listing *ls;
+
+	setup(&fix);
+	ls = reports_listing(&fix.reports, CONTROL_TARGETS);
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		json_object *answer;
+		bool changed;
+		char *state;
+
+		listing_set_era(ls, steps[i].era);
+		answer = listing_parse(ls, steps[i].answer, strlen(steps[i].answer));
+		g_assert_null(listing_apply(ls, answer, true, &changed));
+		state = format_state(&fix);
+		g_assert_cmpstr(state, ==, steps[i].expected_state);
+		g_free(state);
+		json_object_put(answer);
+	}
+	/* Of the era before: the store cannot be watched from it. */
+	listing_restart(ls);
+	listing_advance(ls, store_version_make(1, 30));
+	g_assert_false(store_version_known(ls->revision));
+	teardown(&fix);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -556,5 +604,6 @@
 	g_test_add_func("/listing/unnamed-withdrawal", test_unnamed_withdrawal);
 	g_test_add_func("/listing/paths", test_paths);
 	g_test_add_func("/listing/memory", test_memory);
+	g_test_add_func("/era/new-era", test_new_era);
 	return g_test_run();
 }
--- a/t/test-snapshot.c
+++ b/t/test-snapshot.c
@@ -467,6 +467,56 @@
 	fixture_release(&fix);
 }
 
+/*
+ * Guards against a snapshot whose states count as older than those of every era: a reader of the
+ * era before, whose revisions are higher, would bring a drained target back.
+ */
+static void test_era(void)
+{
+	struct fixture from;
+	struct fixture to;
+	struct control_state *cs = &from.control_state;
+	const struct reg_target *tgt;
+	GString *text;
+
+	fixture_init(&from, "home");
+	fixture_init(&to, "home");
+	fill(&from);
+	control_state_begin_answer(cs, store_version_make(3, 20), from.now);
+	control_state_put_target(
+		cs,
+		&(struct target_info){ .id = "i-a",
+				       .ep = { 0x0a000001, 80 },
+				       .service = symbols_intern(&cs->symbols, "web"),
+				       .data_centre = cs->placing.opts.data_centre,
+				       .slots = 3,
+				       .draining = true,
+				       .revision = store_version_make(3, 21) },
+		from.now);
+	text = write_snapshot(&from);
+	apply(&to, text, 0);
+	cs = &to.control_state;
+	tgt = registry_by_id(cs->registry, "i-a");
+	g_assert_cmpint(store_version_era(tgt->revision), ==, 3);
+	g_assert_cmpint(store_version_revision(tgt->revision), ==, 21);
+	g_assert_cmpint(store_version_era(registry_latest_revision(cs->registry)), ==, 3);
+	control_state_begin_answer(cs, store_version_make(2, 90), to.now);
+	control_state_targets_begin(cs);
+	control_state_put_target(cs,
+				 &(struct target_info){ .id = "i-a",
+							.ep = { 0x0a000001, 80 },
+							.service = tgt->service,
+							.data_centre = tgt->data_centre,
+							.slots = 3,
+							.revision = store_version_make(2, 80) },
+				 to.now);
+	control_state_targets_end(cs, to.now);
+	g_assert_cmpint(tgt->phase, ==, TARGET_DRAINING);
+	g_string_free(text, TRUE);
+	fixture_release(&to);
+	fixture_release(&from);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -474,6 +524,7 @@
 	g_test_add_func("/snapshot/round-trip", test_round_trip);
 	g_test_add_func("/snapshot/store-wins", test_store_wins);
 	g_test_add_func("/snapshot/invalid", test_invalid);
+	g_test_add_func("/era/snapshot", test_era);
 	for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
 		char *path = g_strconcat("/snapshot/start/", starts[i].name, NULL);
 
--- a/view.c
+++ b/view.c
@@ -348,8 +348,13 @@
 static void complete(struct control_state *cs, struct view_progress *vp, const peer_view_page *page,
 		     struct timespec now)
 {
-	if (!vp->base.order)
+	bool relist = cs->kept.relist;
+
+	if (!vp->base.order) {
 		control_state_targets_end(cs, now);
+		/* The reader's period may end after this instance's. */
+		cs->kept.relist = relist && kept_any_target(cs);
+	}
 	control_state_complete(cs, CONTROL_TARGETS, vp->first_revision);
 	view_progress_reset(vp);
 	/* Equal versions: the configuration has not changed up to the reader's revision. */
