--- a/kept.c
+++ b/kept.c
@@ -215,8 +215,13 @@
 
 bool kept_missing_target(const struct control_state *cs, const struct reg_target *tgt)
 {
-	return cs->kept.active && store_version_era(cs->report_revision) == cs->kept.era &&
-	       store_version_era(tgt->revision) < cs->kept.era;
+	const struct kept *kept = &cs->kept;
+
+	if (!kept->active || store_version_era(cs->report_revision) != kept->era)
+		return false;
+	/* The list of a reader lacks what it keeps as removed, which may have been written again.
+	 */
+	return store_version_era(tgt->revision) < kept->era || (kept->paged && kept->known);
 }
 
 static struct store_version latest_change(const struct kept *kept, uint32_t data_centre)
--- a/kept.h
+++ b/kept.h
@@ -31,7 +31,7 @@
 	/*
 	 * Pages of this era were applied. Their reader may have kept states for its own period, and
 	 * its successor is not asked for older changes, so a whole list is read when the own period
-	 * has ended; an instance that has started since reads it only from its reader.
+	 * has ended.
 	 */
 	bool paged;
 	bool relist;
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -10,6 +10,7 @@
 
 #include "random.h"
 #include "relay.h"
+#include "snapshot.h"
 #include "t/silent-out.h"
 #include "timeutil.h"
 #include "view.h"
@@ -234,7 +235,7 @@
 	struct target_info info = {
 		.id = chg->id,
 		.wire_id = chg->nr,
-		.ep = { 0x0a800001, 80 },
+		.ep = { 0x0a800000 + (g_str_hash(chg->id) & 0xffff), 80 },
 		.service = symbols_intern(syms, "web"),
 		.data_centre = symbols_intern(syms, "home"),
 		.slots = 2,
@@ -270,8 +271,7 @@
 	const struct sim *sim = node->sim;
 	struct control_state *cs = &node->control_state;
 	struct store_version complete = cs->complete[CONTROL_TARGETS];
-	bool list = !complete.order || store_version_era(complete) < sim->era ||
-		    (cs->kept.relist && cs->kept.known);
+	bool list = !complete.order || store_version_era(complete) < sim->era || cs->kept.relist;
 
 	if (list)
 		control_state_targets_begin(cs);
@@ -897,6 +897,7 @@
 	unsigned int latest[HISTORY_TARGETS]; /* latest write of a target */
 	bool left[HISTORY_TARGETS];	      /* the target has left since */
 	bool withdrawn;
+	bool knows;		     /* @withdrawn is from the store */
 	unsigned int nr_withdrawals; /* written up to the state of @withdrawn, or more */
 };
 
@@ -942,13 +943,13 @@
 	acted->left[nr] = false;
 }
 
-static bool any_period_has_ended(const struct history *hist)
+static bool any_period_has_ended(const struct history *hist, int64_t era)
 {
 	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
 		const struct node *node = &hist->sim.nodes[i];
 		const struct kept *kept = &node->control_state.kept;
 
-		if (node->up && kept->era == hist->sim.era && !kept->active)
+		if (node->up && kept->era == era && !kept->active)
 			return true;
 	}
 	return false;
@@ -968,7 +969,7 @@
 		acted->nr_withdrawals = nr + 1;
 	else if (node->control_state.kept.active)
 		/* Those that were told by another instance follow it to its end. */
-		g_assert_true(any_period_has_ended(hist));
+		g_assert_true(any_period_has_ended(hist, node->control_state.kept.era));
 }
 
 static void check_history(struct history *hist)
@@ -987,9 +988,11 @@
 			check_target_state(hist, i, nr, acted);
 		withdrawn =
 			placing_is_withdrawn(&cs->placing, symbols_intern(&cs->symbols, "home"));
-		if (withdrawn != acted->withdrawn)
+		/* A snapshot shows no versions of withdrawals; the store's list replaces it. */
+		if (withdrawn != acted->withdrawn && acted->knows)
 			check_withdrawal(hist, node, acted, withdrawn);
 		acted->withdrawn = withdrawn;
+		acted->knows = cs->known[CONTROL_WITHDRAWALS];
 	}
 }
 
@@ -1027,13 +1030,38 @@
 		hist->sim.nodes[i].refused = true;
 }
 
+/* An instance that starts takes the snapshot of another one. */
+static void apply_snapshot(struct history *hist, unsigned int nr)
+{
+	struct sim *sim = &hist->sim;
+	struct node *from = &sim->nodes[history_random(hist, HISTORY_NODES)];
+	GString *text = g_string_new(NULL);
+	struct snapshot *snap;
+	struct faults faults;
+
+	faults_init(&faults);
+	snapshot_write(&from->control_state, text, sim_now(sim));
+	snap = snapshot_parse(text->str, text->len, &faults);
+	if (snap && from->nr != nr)
+		snapshot_apply(snap, &sim->nodes[nr].control_state, 0, sim_now(sim));
+	snapshot_free(snap);
+	faults_release(&faults);
+	g_string_free(text, TRUE);
+}
+
 static void fail_in_history(struct history *hist)
 {
 	struct sim *sim = &hist->sim;
 	unsigned int nr = history_random(hist, HISTORY_NODES);
 
-	switch (history_random(hist, 5)) {
+	switch (history_random(hist, 6)) {
 	case 0:
+		/* Until the end of the next outage of the store. */
+		sim->nodes[nr].refused = true;
+		if (!hist->refused_until_ms)
+			hist->refused_until_ms = sim->now_ms + history_random(hist, 8000);
+		break;
+	case 4:
 		sim->nodes[nr].frozen = sim->nodes[nr].up;
 		break;
 	case 1:
@@ -1054,6 +1082,7 @@
 			break;
 		end_node(&sim->nodes[nr]);
 		start_node(sim, nr);
+		apply_snapshot(hist, nr);
 		g_test_message("%lld ms: instance %u restarts", (long long)sim->now_ms, nr);
 	}
 }
--- a/view.c
+++ b/view.c
@@ -340,7 +340,6 @@
 	vp->active = true;
 	vp->base = version_of(page->base);
 	vp->first_revision = version_of(page->targets_revision);
-	cs->kept.paged = true;
 	if (!page->base)
 		control_state_targets_begin(cs);
 }
@@ -395,6 +394,7 @@
 		begin_series(cs, vp, page);
 	}
 	control_state_begin_answer(cs, version_of(page->targets_revision), now);
+	cs->kept.paged = true;
 	for (u_int i = 0; i < nr; i++)
 		apply_target(cs, page, &page->targets.targets_val[i], now);
 	if (nr)
