--- a/relay.c
+++ b/relay.c
@@ -77,17 +77,19 @@
 
 void relay_set_role(struct relay *relay, enum relay_role role, const char *why)
 {
+	struct store_version complete = relay->opts.control_state->complete[CONTROL_TARGETS];
 	char reader[ENDPOINT_TEXT_LEN];
 
 	if (role == relay->role)
 		return;
 	endpoint_format(relay->reader.ep, reader);
 	decision_log(DECISION_STORE, relay->now,
-		     "relay=%s was=%s why=%s reader=%s targets_revision=%lld followers=%u",
+		     "relay=%s was=%s why=%s reader=%s targets_revision=%lld followers=%u "
+		     "era=%lld",
 		     relay_role_name(role), relay_role_name(relay->role), why,
 		     role == RELAY_JOINING || role == RELAY_FOLLOWING ? reader : "",
-		     (long long)relay->opts.control_state->complete[CONTROL_TARGETS].order,
-		     relay_followers(relay));
+		     (long long)store_version_revision(complete), relay_followers(relay),
+		     (long long)store_version_era(complete));
 	relay->role = role;
 }
 
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -551,6 +551,9 @@
 			g_assert_true(placing_is_withdrawn(&cs->placing,
 							   symbols_intern(&cs->symbols, "home")) ==
 				      !strcmp(words[2], "yes"));
+		else if (!strcmp(words[1], "current"))
+			g_assert_cmpint(store_version_era(cs->complete[CONTROL_TARGETS]), ==,
+					sim->era);
 		else if (!strcmp(words[1], "ready"))
 			g_assert_true(control_state_ready(cs));
 		else
@@ -856,6 +859,8 @@
 	{ "followers-do-not-call-the-store", FLEET
 	  "copy; many; run 1500; drill; count; run 3000; calls-below 100; each target m000 ready; "
 	  "roles following 7" },
+	/* The reader lists at once; followers request its list within a second. */
+	{ "current-soon", FLEET "drill; run 1300; each current; roles following 7" },
 	{ "loss", FLEET "loss 20; copy; drain a; run 2000; drill; run 5000; loss 0; run 2000; "
 			"each target a draining; put z; run 400; each target z ready" },
 };
--- a/t/world/store.c
+++ b/t/world/store.c
@@ -39,6 +39,7 @@
 	GPtrArray *objects; /* in the order of their names; deleted ones stay as history */
 	GPtrArray *connections;
 	int64_t rev;
+	int64_t era;
 	int64_t oldest; /* history starts here */
 	int listeners[64];
 	unsigned int nr_listeners;
@@ -77,6 +78,7 @@
 	store.objects = g_ptr_array_new_with_free_func(free_object);
 	store.connections = g_ptr_array_new_with_free_func(free_connection);
 	store.rev = 100;
+	store.era = 3;
 	for (guint i = 0; i < w->instances->len; i++)
 		store.listeners[store.nr_listeners++] =
 			open_listener(world_ip(PART_STORE, 0, i), STORE_PORT, 16);
@@ -178,8 +180,8 @@
 	conn->rest = g_string_new(NULL);
 	g_string_printf(conn->rest,
 			"HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
-			"Connection: close\r\n\r\n%s",
-			status, strlen(body), body);
+			"Store-Era: %" G_GINT64_FORMAT "\r\nConnection: close\r\n\r\n%s",
+			status, strlen(body), store.era, body);
 	send_rest(conn);
 }
 
