store: keep targets that the list of a reader in its period lacks

The list that a follower requests at the end of its own period may be from a reader whose period still runs and which keeps a target as removed. The follower took the target, written again, for removed.

--- a/beliefs.c
+++ b/beliefs.c
@@ -206,8 +206,9 @@
 		return;
 	if (kept_missing_target(walk->cs, tgt)) {
 		tgt->in_list = true;
-		control_state_lapse_target(walk->cs, tgt->id->str,
-					   ts_diff_ms(walk->cs->kept.end, walk->now), walk->now);
+		control_state_lapse_target(
+			walk->cs, tgt->id->str,
+			MAX(ts_diff_ms(walk->cs->kept.end, walk->now), LAPSE_GRACE_MS), walk->now);
 	} else if (in_lapse_grace(walk->cs, walk->now)) {
 		tgt->in_list = true;
 		keep_lapsed(walk->cs, tgt->id->str, walk->now);
--- a/kept.c
+++ b/kept.c
@@ -217,6 +217,9 @@
 {
 	const struct kept *kept = &cs->kept;
 
+	/* The reader's period may not have ended. */
+	if (kept->relist)
+		return true;
 	if (!kept->active || store_version_era(cs->report_revision) != kept->era)
 		return false;
 	/* The list of a reader lacks what it keeps as removed, which may have been written again.
