--- a/edge-counters.h
+++ b/edge-counters.h
@@ -44,6 +44,9 @@
 	X(credit_grants_in, "grants of credits received")                                          \
 	X(credit_grants_out, "grants of credits sent")                                             \
 	X(credit_dropped, "reports and grants dropped: malformed, repeated or implausible")        \
+	X(store_eras, "restores of the store from an older copy that were seen")                   \
+	X(entries_kept, "entries kept because those of a restored store are older")                \
+	X(entries_reverted, "kept entries that were reverted to the state of a restored store")    \
 	X(send_lost, "packets that the kernel did not accept for sending")                         \
 	X(log_lines, "log lines written")                                                          \
 	X(log_lines_limited, "log lines suppressed by the rate limit")                             \
--- a/relay-internal.h
+++ b/relay-internal.h
@@ -30,11 +30,11 @@
 struct follower {
 	uint32_t id; /* IPv4 address */
 	uint64_t session;
-	int64_t sent_revision;	      /* all changes up to this revision have been sent */
-	struct timespec last_request; /* time of the latest request */
-	unsigned int nr_requests;     /* requests since the latest heartbeat */
-	bool pages_pending;	      /* still has to request pages of the current series */
-	bool awaits_ready;	      /* sent its request before this instance was ready */
+	struct store_version sent_revision; /* all changes up to it have been sent */
+	struct timespec last_request;	    /* time of the latest request */
+	unsigned int nr_requests;	    /* requests since the latest heartbeat */
+	bool pages_pending;		    /* still has to request pages of the current series */
+	bool awaits_ready;		    /* sent its request before this instance was ready */
 };
 
 struct relay {
@@ -47,12 +47,14 @@
 
 	/* Follower. */
 	struct relay_channel to_reader;
-	struct reader_entry reader; /* the reader that is joined or followed */
-	int64_t left_revision;	    /* entry revision of the reader left last; not joined again */
+	struct reader_entry reader;	    /* the reader that is joined or followed */
+	struct store_version left_revision; /* of the entry of the reader left last */
 	uint64_t session;
 	struct view_progress progress;
 	struct timespec started;
 	struct timespec join_started; /* time of the first request to the reader */
+	int64_t era;		      /* of the store, when the own entry was checked last */
+	struct timespec behind_since; /* the reader's pages are behind; 0 while they are not */
 	struct timespec last_page;    /* time of the latest page that continues the known data */
 	struct timespec last_request; /* time of the latest request */
 	struct timespec next_request;
@@ -100,6 +102,20 @@
 bool relay_is_confirmed(const struct relay *relay);
 void relay_set_role(struct relay *relay, enum relay_role role, const char *why);
 
+/* Functions for a store that was restored from an older copy, in relay-era.c. */
+/*
+ * Whether the entry that the store shows, NULL for none, is from before this reader was registered.
+ * One that was written after the restore is not: its instance is the reader.
+ */
+bool relay_entry_is_older(const struct relay *relay, const struct reader_entry *entry);
+/*
+ * Registers this reader with its key in place of an older entry, NULL for none; its followers are
+ * kept. Returns whether the claim was started.
+ */
+bool relay_claim_again(struct relay *relay, const struct reader_entry *entry);
+/* Whether the store was restored since the last call, so that a reader must check its entry. */
+bool relay_entry_may_be_lost(struct relay *relay);
+
 /* Functions of the reader, in relay-reader.c. */
 extern const struct peer_handler_ops relay_reader_ops;
 /* Sends changes to the followers; with @heartbeat, a page even if nothing has changed. */
--- a/relay.c
+++ b/relay.c
@@ -40,6 +40,12 @@
 #define LOOKUP_RETRY_MS 100
 /* Interval at which a reader without followers checks that its entry still names it. */
 #define ENTRY_CHECK_INTERVAL_MS 10000
+/*
+ * Time from a restore of the store to the check of a reader's entry: longer than a follower is
+ * kept, so that a reader that was paused has none by then and yields to the one that has replaced
+ * it.
+ */
+#define ENTRY_RECLAIM_MS 4000
 /* The store answers an idle watch after 2.5 s; a watch without an answer fails 0.7 s later. */
 #define READER_DATA_MAX_AGE_MS 3500
 /*
@@ -71,17 +77,19 @@
 
 void relay_set_role(struct relay *relay, enum relay_role role, const char *why)
 {
+	struct store_version complete = relay->opts.control_state->complete[CONTROL_TARGETS];
 	char reader[ENDPOINT_TEXT_LEN];
 
 	if (role == relay->role)
 		return;
 	endpoint_format(relay->reader.ep, reader);
 	decision_log(DECISION_STORE, relay->now,
-		     "relay=%s was=%s why=%s reader=%s targets_revision=%lld followers=%u",
+		     "relay=%s was=%s why=%s reader=%s targets_revision=%lld followers=%u "
+		     "era=%lld",
 		     relay_role_name(role), relay_role_name(relay->role), why,
 		     role == RELAY_JOINING || role == RELAY_FOLLOWING ? reader : "",
-		     (long long)relay->opts.control_state->complete[CONTROL_TARGETS],
-		     relay_followers(relay));
+		     (long long)store_version_revision(complete), relay_followers(relay),
+		     (long long)store_version_era(complete));
 	relay->role = role;
 	relay_credit_set_role(relay);
 }
@@ -187,13 +195,15 @@
 
 static void send_request(struct relay *relay)
 {
+	const struct control_state *cs = relay->opts.control_state;
 	bool more = relay->progress.active;
+	struct store_version known =
+		cs->kept.relist ? STORE_VERSION_NONE : cs->complete[CONTROL_TARGETS];
 	peer_msg msg = {
 		.type = PEER_VIEW_QUESTION,
 		.peer_msg_u.view_ask = {
 			.session = relay->session,
-			.base = (uint64_t)(more ? relay->progress.base :
-					   relay->opts.control_state->complete[CONTROL_TARGETS]),
+			.base = (uint64_t)(more ? relay->progress.base : known).order,
 			.after = relay->progress.after->str,
 		},
 	};
@@ -222,7 +232,8 @@
 /* Whether the initial list is being read from the store. */
 static bool store_list_in_progress(const struct relay *relay)
 {
-	return !relay->upstream_paused && !relay->opts.control_state->complete[CONTROL_TARGETS] &&
+	return !relay->upstream_paused &&
+	       !relay->opts.control_state->complete[CONTROL_TARGETS].order &&
 	       ts_diff_ms(relay->now, relay->started) >= READER_LIST_WAIT_MS;
 }
 
@@ -243,8 +254,8 @@
 	       !relay->opts.control_state->store_lost;
 }
 
-/* Registers this instance in place of the entry with @revision; 0 if there is no entry. */
-static void claim(struct relay *relay, int64_t revision)
+/* Registers this instance in place of the entry with @revision; none if there is no entry. */
+static void claim(struct relay *relay, struct store_version revision)
 {
 	if (!can_be_reader(relay) || relay->claim_pending) {
 		schedule_lookup_by_memory(relay);
@@ -284,6 +295,7 @@
 	relay->reader = *entry;
 	relay->session = random_session(relay);
 	relay->last_page = (struct timespec){ 0 };
+	relay->behind_since = (struct timespec){ 0 };
 	relay->join_started = relay->now;
 	view_progress_reset(&relay->progress);
 	relay_channel_open(relay, &relay->to_reader, &follower_ops, entry->key);
@@ -322,12 +334,18 @@
 	relay->lookup_done = true;
 	if (relay->stopping || relay->role == RELAY_FOLLOWING || relay->role == RELAY_JOINING)
 		return;
+	if (relay->role == RELAY_READING && ok && relay_entry_is_older(relay, entry)) {
+		if (!relay_claim_again(relay, entry))
+			schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
+		return;
+	}
 	if (entry && endpoint_equal(entry->ep, relay->opts.self)) {
 		resume_as_reader(relay, entry);
-	} else if (entry && entry->ep.port && entry->revision != relay->left_revision) {
+	} else if (entry && entry->ep.port &&
+		   store_version_cmp(entry->revision, relay->left_revision) != 0) {
 		join_reader(relay, entry);
 	} else if (ok && !first) {
-		claim(relay, entry ? entry->revision : 0);
+		claim(relay, entry ? entry->revision : STORE_VERSION_NONE);
 	} else {
 		/* No claim on the first lookup: instances started together would all register. */
 		schedule_lookup_by_memory(relay);
@@ -338,6 +356,10 @@
 {
 	relay->now = now;
 	relay->claim_pending = false;
+	if (relay->role == RELAY_READING && !claimed) {
+		relay->lookup_fresh = true;
+		schedule_lookup(relay, LOOKUP_RETRY_MS, LOOKUP_RETRY_MS);
+	}
 	if (relay->role != RELAY_ALONE)
 		return;
 	if (claimed) {
@@ -423,6 +445,17 @@
 	}
 }
 
+/* A reader that stays behind, as in an era before, is left. One that is joined has join_timer(). */
+static void handle_behind(struct relay *relay)
+{
+	if (relay->role != RELAY_FOLLOWING)
+		return;
+	if (!relay->behind_since.tv_sec)
+		relay->behind_since = relay->now;
+	else if (ts_diff_ms(relay->now, relay->behind_since) >= JOIN_BEHIND_TIMEOUT_MS)
+		fall_back_to_store(relay, "behind");
+}
+
 static void handle_page(struct relay *relay, const peer_view_page *page)
 {
 	struct control_state *cs = relay->opts.control_state;
@@ -445,7 +478,13 @@
 	/* A reader whose pages cannot be applied is left like one that sends none. */
 	if (res != VIEW_GAP)
 		relay->last_page = relay->now;
-	if (res == VIEW_BEHIND)
+	if (res == VIEW_BEHIND) {
+		handle_behind(relay);
+		return;
+	}
+	relay->behind_since = (struct timespec){ 0 };
+	/* The next request, which is due within a second, is answered with a whole list. */
+	if (res == VIEW_NEW_ERA)
 		return;
 	request_missing_pages(relay, page, res);
 	if (res == VIEW_COMPLETE && reader_data_is_stale(page))
@@ -498,6 +537,10 @@
 void relay_control_state_changed(struct relay *relay, struct timespec now)
 {
 	relay->now = now;
+	if (relay_entry_may_be_lost(relay)) {
+		relay->lookup_fresh = true;
+		schedule_lookup(relay, ENTRY_RECLAIM_MS, LOOKUP_RETRY_MS);
+	}
 	if (relay->role == RELAY_READING)
 		relay_reader_send_updates(relay, false);
 	else if (relay->role == RELAY_FOLLOWING && relay->reader_store_lost)
@@ -545,9 +588,18 @@
 		send_request(relay);
 }
 
+static bool lookup_is_due(const struct relay *relay)
+{
+	return relay->next_lookup.tv_sec && !relay->stopping &&
+	       ts_cmp(relay->now, relay->next_lookup) >= 0;
+}
+
 static void reading_timer(struct relay *relay)
 {
 	relay_reader_timer(relay);
+	if (relay->opts.control_state->kept.active && lookup_is_due(relay) &&
+	    !relay->lookup_pending)
+		lookup_reader(relay);
 	if (relay_followers(relay))
 		relay->no_follower_since = relay->now;
 	else if (!relay->lookup_pending && !relay->stopping &&
@@ -557,12 +609,6 @@
 	}
 }
 
-static bool lookup_is_due(const struct relay *relay)
-{
-	return relay->next_lookup.tv_sec && !relay->stopping &&
-	       ts_cmp(relay->now, relay->next_lookup) >= 0;
-}
-
 void relay_timer(struct relay *relay, struct timespec now)
 {
 	relay->now = now;
--- a/t/exchange-sim.h
+++ b/t/exchange-sim.h
@@ -191,7 +191,7 @@
 		.data_centre = symbols_intern(&node->cs.symbols, tgt->data_centre),
 		.slots = tgt->slots,
 		.born_ms = 5,
-		.revision = 1,
+		.revision = store_version_make(0, 1),
 	};
 
 	control_state_put_target(&node->cs, &info, exsim_now(node->sim));
--- a/t/test-credit.c
+++ b/t/test-credit.c
@@ -195,7 +195,7 @@
 	if (c->withdrawn_a)
 		placing_withdraw(&fix.placing, AWAY, true);
 	if (c->gone_a)
-		registry_remove(fix.reg, "a", 0, fix.now);
+		registry_remove(fix.reg, "a", STORE_VERSION_NONE, fix.now);
 	for (char **want = expected; *want; want++) {
 		bool usable;
 		struct reg_target *tgt =
@@ -512,7 +512,7 @@
 	grant(&fix, entries, 1);
 	credit_take(fix.acc, a, fix.now);
 	credit_return(fix.acc, a, CREDIT_REJECTED, 5, 0, fix.now);
-	registry_remove(fix.reg, "a", 0, fix.now);
+	registry_remove(fix.reg, "a", STORE_VERSION_NONE, fix.now);
 	fix.now = ts_add_ms(fix.now, 60000);
 	registry_sweep(fix.reg, fix.now, 60000);
 	g_assert_cmpuint(registry_count(fix.reg), ==, 0);
--- a/t/test-lending.c
+++ b/t/test-lending.c
@@ -21,7 +21,7 @@
 	for (unsigned int i = 0; i < 2; i++) {
 		sim->readers[i].data_centre = i ? "away" : "home";
 		sim->readers[i].entry.ep = (struct endpoint){ EXSIM_SELF_IP + 5 * i, 7000 };
-		sim->readers[i].entry.revision = 1;
+		sim->readers[i].entry.revision = store_version_make(0, 1);
 	}
 	sim->nr_readers = 2;
 	exsim_run(sim, 5000);
@@ -102,7 +102,7 @@
 	for (unsigned int i = 0; i < 3; i++) {
 		sim->readers[i].data_centre = (const char *[]){ "home", "away", "far" }[i];
 		sim->readers[i].entry.ep = (struct endpoint){ EXSIM_SELF_IP + i, 7000 };
-		sim->readers[i].entry.revision = 1;
+		sim->readers[i].entry.revision = store_version_make(0, 1);
 	}
 	sim->nr_readers = 3;
 	exsim_run(sim, 15000);
@@ -132,7 +132,7 @@
 		exsim_add_node(sim, names[i], i, EXCHANGE_READER, i ? 400 : per_s);
 		sim->readers[i].data_centre = names[i];
 		sim->readers[i].entry.ep = (struct endpoint){ EXSIM_SELF_IP + i, 7000 };
-		sim->readers[i].entry.revision = 1;
+		sim->readers[i].entry.revision = store_version_make(0, 1);
 	}
 	sim->nr_readers = nr;
 	return sim;
--- a/t/test-registry.c
+++ b/t/test-registry.c
@@ -47,16 +47,16 @@
 	GPtrArray *changed;
 
 	first.id = next.id = "i-a";
-	first.revision = first.answer_revision = 10;
-	next.revision = next.answer_revision = 11;
+	first.revision = first.answer_revision = store_version_make(0, 10);
+	next.revision = next.answer_revision = store_version_make(0, 11);
 	g_assert_true(registry_put(reg, &first, ts_from_ms(START_MS)));
 	g_assert_true(registry_put(reg, &next, now));
 	g_assert_cmpint(ts_diff_ms(registry_by_id(reg, "i-a")->warm_at, now), ==, c->warm_ms);
-	changed = registry_changed_since(reg, 10, "");
+	changed = registry_changed_since(reg, store_version_make(0, 10), "");
 	g_assert_cmpuint(changed->len, ==, c->changed);
 	g_ptr_array_unref(changed);
 	/* Its state is that of the newer revision, so an older one is not taken over. */
-	next.revision = 10;
+	next.revision = store_version_make(0, 10);
 	g_assert_false(registry_put(reg, &next, now));
 	registry_free(reg);
 }
--- a/t/test-relay-credit.c
+++ b/t/test-relay-credit.c
@@ -184,7 +184,7 @@
 			.data_centre = symbols_intern(syms, data_centre),
 			.slots = 2,
 			.born_ms = 5,
-			.revision = 1,
+			.revision = store_version_make(0, 1),
 		};
 
 		g_snprintf(id, sizeof(id), "t-%u", i);
@@ -217,7 +217,7 @@
 
 	if (node->sim->now_ms % 100 || !node->running)
 		return;
-	control_state_begin_answer(cs, 1);
+	control_state_begin_answer(cs, store_version_make(0, 1), now);
 	if (!node->informed) {
 		report_targets(node);
 		report_config(node);
@@ -225,7 +225,7 @@
 	node->informed = true;
 	for (int i = 0; i < CONTROL_KINDS; i++) {
 		control_state_store_answered(cs, (enum control_kind)i, now);
-		control_state_complete(cs, (enum control_kind)i, 1);
+		control_state_complete(cs, (enum control_kind)i, store_version_make(0, 1));
 		control_state_received(cs, (enum control_kind)i, now);
 	}
 	relay_control_state_changed(node->relay, now);
@@ -239,15 +239,16 @@
 
 	if (node->lookup_pending) {
 		node->lookup_pending = false;
-		relay_lookup_done(node->relay, true, entry->revision ? entry : NULL, now);
+		relay_lookup_done(node->relay, true,
+				  store_version_known(entry->revision) ? entry : NULL, now);
 	}
 	if (node->claim_pending) {
-		bool done = entry->revision == node->claim.revision;
+		bool done = !store_version_cmp(entry->revision, node->claim.revision);
 
 		node->claim_pending = false;
 		if (done) {
 			*entry = node->claim;
-			entry->revision = ++sim->revision;
+			entry->revision = store_version_make(0, ++sim->revision);
 		}
 		relay_claim_done(node->relay, done, now);
 	}
--- a/t/test-relay.c
+++ b/t/test-relay.c
@@ -10,6 +10,7 @@
 
 #include "random.h"
 #include "relay.h"
+#include "snapshot.h"
 #include "t/silent-out.h"
 #include "timeutil.h"
 #include "view.h"
@@ -27,6 +28,7 @@
 	char id[16];
 	unsigned int
 		name_bytes; /* length of the target's service and data centre, 0 for usual ones */
+	unsigned int nr;    /* of the write: later writes have higher ones, also after a restore */
 	bool draining;
 	bool removed;
 	uint32_t cold_ms; /* when the entry was written */
@@ -55,7 +57,7 @@
 	bool claim_pending;
 	unsigned int calls; /* calls to the store since the last "count" */
 	size_t bytes;	    /* sent to other instances since the last "count" */
-	int64_t complete[CONTROL_KINDS];
+	struct store_version complete[CONTROL_KINDS];
 	uint64_t version;
 };
 
@@ -67,6 +69,9 @@
 	struct seeded_random random;
 	int64_t now_ms;
 	GArray *changes; /* struct change: the history of the store */
+	unsigned int nr_writes;
+	unsigned int nr_lost; /* writes up to this one may have been lost by a restore */
+	int64_t era;
 	int64_t revision;
 	int64_t config_revision;
 	uint64_t config_version;
@@ -74,14 +79,27 @@
 	bool withdrawn;
 	unsigned int nr_withdrawn_more; /* data centres without targets, withdrawn too */
 	struct reader_entry entry;	/* revision 0 for none */
-	bool lose_claims;		/* claims are applied, but their answers are lost */
 	int64_t warm_ms;		/* end of the cold phase of the targets of "cold" */
 	bool credits;
+	struct store_copy {
+		guint nr_changes;
+		int64_t revision;
+		uint64_t config_version;
+		bool withdrawn;
+		unsigned int nr_withdrawn_more;
+		struct reader_entry entry;
+	} copy;		  /* of the store, for a restore */
+	bool lose_claims; /* claims are applied, but their answers are lost */
 	GPtrArray *sent;
 	bool link_cut[MAX_NODES][MAX_NODES];
 	unsigned int loss_percent;
 };
 
+static struct store_version sim_version(const struct sim *sim, int64_t revision)
+{
+	return store_version_make(sim->era, revision);
+}
+
 static struct timespec sim_now(const struct sim *sim)
 {
 	return ts_from_ms(START_MS + sim->now_ms);
@@ -224,15 +242,16 @@
 	struct symbols *syms = &node->control_state.symbols;
 	struct target_info info = {
 		.id = chg->id,
-		.wire_id = 7,
-		.ep = { 0x0a800001, 80 },
+		/* Tells writes apart, but the repeated ones of a cold phase. */
+		.wire_id = chg->cold_ms ? 1 : chg->nr,
+		.ep = { 0x0a800000 + (g_str_hash(chg->id) & 0xffff), 80 },
 		.service = symbols_intern(syms, "web"),
 		.data_centre = symbols_intern(syms, "home"),
 		.slots = 2,
 		.draining = chg->draining,
 		.cold_ms = chg->cold_ms,
 		.born_ms = 5,
-		.revision = chg->revision,
+		.revision = sim_version(node->sim, chg->revision),
 	};
 
 	if (chg->name_bytes) {
@@ -261,15 +280,16 @@
 {
 	const struct sim *sim = node->sim;
 	struct control_state *cs = &node->control_state;
-	bool list = !cs->complete[CONTROL_TARGETS];
+	struct store_version complete = cs->complete[CONTROL_TARGETS];
+	bool list = !complete.order || store_version_era(complete) < sim->era || cs->kept.relist;
 
 	if (list)
 		control_state_targets_begin(cs);
 	for (guint i = 0; i < sim->changes->len; i++) {
 		const struct change *chg = &g_array_index(sim->changes, struct change, i);
 
-		if (chg->revision <= cs->complete[CONTROL_TARGETS] ||
-		    (list && (chg->removed || !is_latest_change(sim, i))))
+		if (list ? chg->removed || !is_latest_change(sim, i)
+			 : chg->revision <= store_version_revision(complete))
 			continue;
 		report_target(node, chg, now);
 	}
@@ -313,7 +333,7 @@
 		return;
 	}
 	control_state_store_answered(cs, kind, now);
-	control_state_begin_answer(cs, node->sim->revision);
+	control_state_begin_answer(cs, sim_version(node->sim, node->sim->revision), now);
 	switch (kind) {
 	case CONTROL_TARGETS:
 		report_targets(node, now);
@@ -326,20 +346,20 @@
 		report_withdrawals(node, now);
 		break;
 	}
-	control_state_complete(cs, kind, node->sim->revision);
+	control_state_complete(cs, kind, sim_version(node->sim, node->sim->revision));
 	control_state_received(cs, kind, now);
 }
 
 static void answer_claim(struct node *node, struct timespec now)
 {
 	struct sim *sim = node->sim;
-	bool done = !node->refused && sim->entry.revision == node->claim.revision;
+	bool done = !node->refused && !store_version_cmp(sim->entry.revision, node->claim.revision);
 
 	node->claim_pending = false;
 	node->calls++;
 	if (done) {
 		sim->entry = node->claim;
-		sim->entry.revision = ++sim->revision;
+		sim->entry.revision = sim_version(sim, ++sim->revision);
 	}
 	relay_claim_done(node->relay, done && !sim->lose_claims, now);
 }
@@ -353,7 +373,10 @@
 		node->lookup_pending = false;
 		node->calls++;
 		relay_lookup_done(node->relay, !node->refused,
-				  sim->entry.revision && !node->refused ? &sim->entry : NULL, now);
+				  store_version_known(sim->entry.revision) && !node->refused
+					  ? &sim->entry
+					  : NULL,
+				  now);
 	}
 	if (node->claim_pending)
 		answer_claim(node, now);
@@ -369,7 +392,7 @@
 static void check_no_regression(struct node *node)
 {
 	for (int i = 0; i < CONTROL_KINDS; i++) {
-		g_assert_cmpint(node->control_state.complete[i], >=, node->complete[i]);
+		g_assert_cmpint(node->control_state.complete[i].order, >=, node->complete[i].order);
 		node->complete[i] = node->control_state.complete[i];
 	}
 	g_assert_cmpuint(routing_version(node->control_state.routing), >=, node->version);
@@ -419,12 +442,15 @@
 {
 	struct change chg = {
 		.revision = ++sim->revision,
+		.nr = ++sim->nr_writes,
 		.draining = draining,
 		.removed = removed,
 	};
 
 	g_strlcpy(chg.id, id, sizeof(chg.id));
 	g_array_append_val(sim->changes, chg);
+	g_test_message("%lld ms: write %u at revision %lld, %s%s", (long long)sim->now_ms, chg.nr,
+		       (long long)chg.revision, id, removed ? " removed" : "");
 }
 
 /* Adds targets "f0", "f1" and so on, whose service and data centre have names of @bytes. */
@@ -453,6 +479,31 @@
 	}
 }
 
+static void take_copy(struct sim *sim)
+{
+	sim->copy =
+		(struct store_copy){ sim->changes->len, sim->revision,		sim->config_version,
+				     sim->withdrawn,	sim->nr_withdrawn_more, sim->entry };
+}
+
+/* The store is restored from its copy. */
+static void drill(struct sim *sim)
+{
+	const struct store_copy *copy = &sim->copy;
+
+	g_array_set_size(sim->changes, copy->nr_changes);
+	sim->nr_lost = sim->nr_writes;
+	sim->era++;
+	sim->revision = copy->revision;
+	sim->config_version = copy->config_version;
+	sim->withdrawn = copy->withdrawn;
+	sim->nr_withdrawn_more = copy->nr_withdrawn_more;
+	sim->entry = copy->entry;
+	if (store_version_known(sim->entry.revision))
+		sim->entry.revision =
+			sim_version(sim, store_version_revision(copy->entry.revision));
+}
+
 static enum relay_role role_named(const char *name)
 {
 	for (int i = 0; i < ROLES; i++) {
@@ -498,7 +549,7 @@
 
 	g_test_message("instance %u: %s, expecting %s, targets complete to %lld", node->nr,
 		       relay_role_name(relay_role(node->relay)), phase,
-		       (long long)node->control_state.complete[CONTROL_TARGETS]);
+		       (long long)node->control_state.complete[CONTROL_TARGETS].order);
 	/* Targets that have left are deleted from the registry after a minute. */
 	if (!strcmp(phase, "left"))
 		g_assert_true(!tgt || tgt->phase == TARGET_GONE);
@@ -523,6 +574,9 @@
 			g_assert_true(placing_is_withdrawn(&cs->placing,
 							   symbols_intern(&cs->symbols, "home")) ==
 				      !strcmp(words[2], "yes"));
+		else if (!strcmp(words[1], "current"))
+			g_assert_cmpint(store_version_era(cs->complete[CONTROL_TARGETS]), ==,
+					sim->era);
 		else if (!strcmp(words[1], "ready"))
 			g_assert_true(control_state_ready(cs));
 		else
@@ -599,6 +653,10 @@
 		write_cold_targets(sim, (unsigned int)g_ascii_strtoull(words[1], NULL, 10));
 	} else if (!strcmp(cmd, "beat")) {
 		write_cold_targets(sim, (unsigned int)g_ascii_strtoull(words[1], NULL, 10));
+	} else if (!strcmp(cmd, "copy")) {
+		take_copy(sim);
+	} else if (!strcmp(cmd, "drill")) {
+		drill(sim);
 	} else if (!strcmp(cmd, "drain")) {
 		change_target(sim, words[1], true, false);
 	} else if (!strcmp(cmd, "remove")) {
@@ -649,7 +707,7 @@
 	} else if (!strcmp(cmd, "lose-claims")) {
 		sim->lose_claims = !strcmp(words[1], "yes");
 	} else if (!strcmp(cmd, "spoil-entry")) {
-		sim->entry = (struct reader_entry){ .revision = ++sim->revision };
+		sim->entry = (struct reader_entry){ .revision = sim_version(sim, ++sim->revision) };
 	} else if (!strcmp(cmd, "garbage")) {
 		send_garbage(sim, node_named(sim, words[1]));
 	} else if (!strcmp(cmd, "each")) {
@@ -788,6 +846,74 @@
 		"roles reading 1; roles following 7" },
 };
 
+/*
+ * The store is restored from a copy. Guards against instances that revert to the copy's states, and
+ * against those that take new revisions for ones that they have. Between "copy" and "drill" are the
+ * writes that the store loses; "put z" moves it beyond the revisions that it has lost.
+ */
+static const struct script era_scripts[] = {
+	/* Written again within the period; targets stay as they were all the time. */
+	{ "drain-written-again",
+	  FLEET "copy; drain a; run 500; each target a draining; drill; run 3000; "
+		"each target a draining; put z; run 300; drain a; run 12000; "
+		"each target a draining; each target z ready" },
+	{ "drain-not-written-again",
+	  FLEET "copy; drain a; run 500; drill; run 9000; each target a draining; run 4000; "
+		"each target a ready" },
+	{ "left", FLEET "copy; remove b; run 500; drill; run 9000; each target b gone; remove b; "
+			"run 4000; each target b gone" },
+	{ "left-not-written-again",
+	  FLEET "copy; remove b; run 500; drill; run 9000; each target b gone; run 4000; "
+		"each target b ready" },
+	{ "not-in-the-copy",
+	  FLEET "copy; put n; run 500; drill; run 5000; each target n ready; put n; run 12000; "
+		"each target n ready" },
+	{ "not-in-the-copy-nor-written-again",
+	  FLEET "copy; put n; run 500; drill; run 9000; each target n ready; run 4000; "
+		"each target n gone" },
+	{ "config", FLEET "config 8; copy; config 9; run 500; drill; run 30000; each config 9; "
+			  "config 10; run 500; each config 10" },
+	{ "withdrawn", FLEET "copy; withdraw; run 500; drill; run 9000; each withdrawn yes; "
+			     "withdraw; run 5000; each withdrawn yes" },
+	{ "given-back", FLEET "withdraw; run 500; copy; restore; run 500; drill; run 9000; "
+			      "each withdrawn no; run 5000; each withdrawn yes" },
+	{ "withdrawn-after", FLEET "withdraw; run 500; restore; run 500; copy; put z; run 500; "
+				   "drill; run 2000; withdraw; run 500; each withdrawn yes" },
+	/* Revisions that were assigned again must not look like known ones. */
+	{ "other-changes-at-the-same-revisions",
+	  FLEET "copy; put x; put y; run 500; drill; drain b; remove a; run 2000; "
+		"each target b draining; each target x ready; run 12000; each target a gone; "
+		"each target x gone" },
+	{ "outage",
+	  FLEET "copy; drain a; run 500; refuse-all; run 5000; drill; serve-all; run 4000; "
+		"each target a draining; run 16000; each target a ready; roles reading 1" },
+	{ "twice", FLEET "copy; drain a; run 500; drill; run 3000; each target a draining; drill; "
+			 "run 9000; each target a draining; run 4000; each target a ready" },
+	{ "reader-paused",
+	  FLEET "copy; drain a; run 500; freeze reader; drill; run 4000; each target a draining; "
+		"put z; drain a; wake-all; run 16000; each target a draining; roles reading 1" },
+	{ "reader-killed",
+	  FLEET "copy; drain a; run 500; drill; kill reader; run 4000; each target a draining; "
+		"run 8000; put z; run 1500; each target z ready; roles reading 1" },
+	{ "planned-stop", FLEET "copy; drain a; run 500; stop reader; drill; run 700; "
+				"each target a draining; kill last; run 8000; roles reading 1" },
+	{ "start-of-the-fleet",
+	  "put a; config 3; copy; drain a; boot 0 7; run 400; drill; run 6000; "
+	  "each target a draining; each ready; run 8000; roles reading 1" },
+	/* The entry of the reader is not in the copy; followers stay with it and it registers. */
+	{ "reader-entry-lost",
+	  "put a; config 3; copy; boot 0 7; run 6000; roles reading 1; drill; run 5000; "
+	  "roles reading 1; roles following 7; boot 8 11; run 1000; roles following 11" },
+	/* Three lists instead of watches, one lookup and one claim: 4 calls more than without. */
+	{ "followers-do-not-call-the-store", FLEET
+	  "copy; many; run 1500; drill; count; run 3000; calls-below 100; each target m000 ready; "
+	  "roles following 7" },
+	/* The reader lists at once; followers request its list within a second. */
+	{ "current-soon", FLEET "drill; run 1300; each current; roles following 7" },
+	{ "loss", FLEET "loss 20; copy; drain a; run 2000; drill; run 5000; loss 0; run 2000; "
+			"each target a draining; put z; run 400; each target z ready" },
+};
+
 static void test_script(gconstpointer data)
 {
 	const struct script *script = data;
@@ -815,6 +941,321 @@
 	g_free(sim);
 }
 
+#define HISTORY_NODES	5
+#define HISTORY_TARGETS 4
+#define HISTORY_STEPS	24
+#define HISTORIES	40
+
+/* What an instance has acted on. */
+struct acted {
+	uint32_t incarnation;
+	unsigned int latest[HISTORY_TARGETS]; /* latest write of a target */
+	bool left[HISTORY_TARGETS];	      /* the target has left since */
+	bool withdrawn;
+	bool knows;		     /* @withdrawn is from the store */
+	unsigned int nr_withdrawals; /* written up to the state of @withdrawn, or more */
+};
+
+struct history {
+	struct sim sim;
+	struct acted acted[HISTORY_NODES];
+	int64_t copied_ms; /* 0: no copy */
+	int64_t refused_until_ms;
+	bool withdrawals[HISTORY_STEPS]; /* written, also those that were lost */
+	unsigned int nr_withdrawals;
+};
+
+static const char *target_name(unsigned int nr)
+{
+	static const char *const names[HISTORY_TARGETS] = { "t0", "t1", "t2", "t3" };
+
+	return names[nr];
+}
+
+/* Fails if an instance reverts to an older state, unless the period has ended without the newer. */
+static void check_target_state(const struct history *hist, unsigned int node, unsigned int nr,
+			       struct acted *acted)
+{
+	struct control_state *cs = (struct control_state *)&hist->sim.nodes[node].control_state;
+	const struct reg_target *tgt = registry_by_id(cs->registry, target_name(nr));
+	unsigned int write;
+
+	if (!tgt)
+		return;
+	write = (unsigned int)tgt->wire_id;
+	if (tgt->phase == TARGET_GONE) {
+		acted->left[nr] = true;
+		return;
+	}
+	if (write < acted->latest[nr] || (write == acted->latest[nr] && acted->left[nr])) {
+		g_test_message("%lld ms, instance %u: %s back from write %u to %u, left %d",
+			       (long long)hist->sim.now_ms, node, tgt->id->str, acted->latest[nr],
+			       write, acted->left[nr]);
+		g_assert_cmpuint(acted->latest[nr], <=, hist->sim.nr_lost);
+		g_assert_false(cs->kept.active);
+	}
+	acted->latest[nr] = write;
+	acted->left[nr] = false;
+}
+
+static bool any_period_has_ended(const struct history *hist, int64_t era)
+{
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		const struct node *node = &hist->sim.nodes[i];
+		const struct kept *kept = &node->control_state.kept;
+
+		if (node->up && kept->era == era && !kept->active)
+			return true;
+	}
+	return false;
+}
+
+/* Fails unless a later write than the one acted on explains the new state. */
+static void check_withdrawal(const struct history *hist, struct node *node, struct acted *acted,
+			     bool withdrawn)
+{
+	unsigned int nr = acted->nr_withdrawals;
+
+	g_test_message("%lld ms, instance %u, %s: withdrawn=%d", (long long)hist->sim.now_ms,
+		       node->nr, relay_role_name(relay_role(node->relay)), withdrawn);
+	while (nr < hist->nr_withdrawals && hist->withdrawals[nr] != withdrawn)
+		nr++;
+	if (nr < hist->nr_withdrawals)
+		acted->nr_withdrawals = nr + 1;
+	else if (node->control_state.kept.active)
+		/* Those that were told by another instance follow it to its end. */
+		g_assert_true(any_period_has_ended(hist, node->control_state.kept.era));
+}
+
+static void check_history(struct history *hist)
+{
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		struct node *node = &hist->sim.nodes[i];
+		struct control_state *cs = &node->control_state;
+		struct acted *acted = &hist->acted[i];
+		bool withdrawn;
+
+		if (!node->up)
+			continue;
+		if (acted->incarnation != node->incarnation)
+			*acted = (struct acted){ .incarnation = node->incarnation };
+		for (unsigned int nr = 0; nr < HISTORY_TARGETS; nr++)
+			check_target_state(hist, i, nr, acted);
+		withdrawn =
+			placing_is_withdrawn(&cs->placing, symbols_intern(&cs->symbols, "home"));
+		/* A snapshot shows no versions of withdrawals; the store's list replaces it. */
+		if (withdrawn != acted->withdrawn && acted->knows)
+			check_withdrawal(hist, node, acted, withdrawn);
+		acted->withdrawn = withdrawn;
+		acted->knows = cs->known[CONTROL_WITHDRAWALS];
+	}
+}
+
+static void run_history(struct history *hist, int64_t ms)
+{
+	for (int64_t end = hist->sim.now_ms + ms; hist->sim.now_ms < end;) {
+		if (hist->refused_until_ms && hist->sim.now_ms >= hist->refused_until_ms) {
+			hist->refused_until_ms = 0;
+			for (unsigned int i = 0; i < HISTORY_NODES; i++)
+				hist->sim.nodes[i].refused = false;
+		}
+		step(&hist->sim);
+		check_history(hist);
+	}
+}
+
+static unsigned int history_random(struct history *hist, uint32_t limit)
+{
+	return random_below(&hist->sim.random.random, limit);
+}
+
+/* The store is away for up to 5 s and comes back from a copy of up to some seconds. */
+static void drill_in_history(struct history *hist)
+{
+	if (!hist->copied_ms)
+		return;
+	drill(&hist->sim);
+	g_test_message("%lld ms: restored to revision %lld", (long long)hist->sim.now_ms,
+		       (long long)hist->sim.revision);
+	hist->copied_ms = 0;
+	if (history_random(hist, 2))
+		return;
+	hist->refused_until_ms = hist->sim.now_ms + history_random(hist, 5000);
+	for (unsigned int i = 0; i < HISTORY_NODES; i++)
+		hist->sim.nodes[i].refused = true;
+}
+
+/* An instance that starts takes the snapshot of another one. */
+static void apply_snapshot(struct history *hist, unsigned int nr)
+{
+	struct sim *sim = &hist->sim;
+	struct node *from = &sim->nodes[history_random(hist, HISTORY_NODES)];
+	GString *text = g_string_new(NULL);
+	struct snapshot *snap;
+	struct faults faults;
+
+	faults_init(&faults);
+	snapshot_write(&from->control_state, text, sim_now(sim));
+	snap = snapshot_parse(text->str, text->len, &faults);
+	if (snap && from->nr != nr)
+		snapshot_apply(snap, &sim->nodes[nr].control_state, 0, sim_now(sim));
+	snapshot_free(snap);
+	faults_release(&faults);
+	g_string_free(text, TRUE);
+}
+
+static void fail_in_history(struct history *hist)
+{
+	struct sim *sim = &hist->sim;
+	unsigned int nr = history_random(hist, HISTORY_NODES);
+
+	switch (history_random(hist, 6)) {
+	case 0:
+		/* Until the end of the next outage of the store. */
+		sim->nodes[nr].refused = true;
+		if (!hist->refused_until_ms)
+			hist->refused_until_ms = sim->now_ms + history_random(hist, 8000);
+		break;
+	case 4:
+		sim->nodes[nr].frozen = sim->nodes[nr].up;
+		break;
+	case 1:
+		for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+			if (sim->nodes[i].frozen)
+				relay_process_resumed(sim->nodes[i].relay, sim_now(sim));
+			sim->nodes[i].frozen = false;
+		}
+		break;
+	case 2:
+		memset(sim->link_cut[nr], true, sizeof(sim->link_cut[nr]));
+		break;
+	case 3:
+		memset(sim->link_cut, 0, sizeof(sim->link_cut));
+		break;
+	default:
+		if (sim->nodes[nr].frozen)
+			break;
+		end_node(&sim->nodes[nr]);
+		start_node(sim, nr);
+		apply_snapshot(hist, nr);
+		g_test_message("%lld ms: instance %u restarts", (long long)sim->now_ms, nr);
+	}
+}
+
+static void write_in_history(struct history *hist)
+{
+	struct sim *sim = &hist->sim;
+	unsigned int kind = history_random(hist, 8);
+
+	if (kind == 0) {
+		sim->withdrawn = history_random(hist, 2);
+		hist->withdrawals[hist->nr_withdrawals++] = sim->withdrawn;
+		g_test_message("%lld ms: withdrawn=%d", (long long)sim->now_ms, sim->withdrawn);
+		sim->withdrawn_revision = ++sim->revision;
+	} else if (kind == 1) {
+		sim->config_version += 1 + history_random(hist, 2);
+		sim->config_revision = ++sim->revision;
+	} else {
+		change_target(sim, target_name(history_random(hist, HISTORY_TARGETS)), kind == 2,
+			      kind == 3);
+	}
+}
+
+static void check_end(struct history *hist)
+{
+	struct sim *sim = &hist->sim;
+
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		struct control_state *cs = &sim->nodes[i].control_state;
+
+		g_assert_cmpuint(routing_version(cs->routing), ==, sim->config_version);
+		g_assert_true(
+			placing_is_withdrawn(&cs->placing, symbols_intern(&cs->symbols, "home")) ==
+			sim->withdrawn);
+		for (guint j = 0; j < sim->changes->len; j++) {
+			const struct change *chg = &g_array_index(sim->changes, struct change, j);
+			const struct reg_target *tgt = registry_by_id(cs->registry, chg->id);
+
+			if (!is_latest_change(sim, j))
+				continue;
+			g_test_message("instance %u, %s: write %u%s, known %d", i, chg->id, chg->nr,
+				       chg->removed ? " removes it" : "",
+				       tgt ? (int)tgt->wire_id : -1);
+			g_assert_true((tgt && tgt->phase != TARGET_GONE) == !chg->removed);
+			if (chg->removed)
+				continue;
+			g_assert_cmpuint(tgt->wire_id, ==, chg->nr);
+			g_assert_true((tgt->phase == TARGET_DRAINING) == chg->draining);
+		}
+	}
+}
+
+static void test_history(uint32_t seed)
+{
+	struct history *hist = g_new0(struct history, 1);
+	struct sim *sim = &hist->sim;
+
+	seeded_random_init(&sim->random, seed);
+	sim->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+	sim->sent = g_ptr_array_new_with_free_func(free_datagram);
+	sim->revision = 10;
+	sim->config_version = 1;
+	for (unsigned int i = 0; i < HISTORY_TARGETS; i++)
+		change_target(sim, target_name(i), false, false);
+	for (unsigned int i = 0; i < HISTORY_NODES; i++)
+		start_node(sim, i);
+	run_history(hist, history_random(hist, 6000));
+	for (unsigned int i = 0; i < HISTORY_STEPS; i++) {
+		unsigned int kind = history_random(hist, 10);
+
+		if (kind < 5)
+			write_in_history(hist);
+		else if (kind < 7)
+			fail_in_history(hist);
+		else if (hist->copied_ms)
+			drill_in_history(hist);
+		else
+			take_copy(sim), hist->copied_ms = MAX(sim->now_ms, 1);
+		run_history(hist, history_random(hist, 4) ? history_random(hist, 300)
+							  : history_random(hist, 6000));
+	}
+	for (unsigned int i = 0; i < HISTORY_NODES; i++) {
+		if (sim->nodes[i].frozen)
+			relay_process_resumed(sim->nodes[i].relay, sim_now(sim));
+		sim->nodes[i].frozen = false;
+	}
+	memset(sim->link_cut, 0, sizeof(sim->link_cut));
+	run_history(hist, 24000);
+	/* A configuration never reverts, so a newer one shows that all follow the store. */
+	sim->config_version += 100;
+	sim->config_revision = ++sim->revision;
+	run_history(hist, 3000);
+	check_end(hist);
+	for (unsigned int i = 0; i < HISTORY_NODES; i++)
+		end_node(&sim->nodes[i]);
+	g_ptr_array_unref(sim->sent);
+	g_array_unref(sim->changes);
+	g_free(hist);
+}
+
+/*
+ * Random histories of writes, restores, cut links, pauses and restarts. Guards against an instance
+ * that acts on a state older than one that it has acted on, or that does not end with what the
+ * store holds. ERA_HISTORIES sets their number, ERA_SEED the first seed.
+ */
+static void test_histories(void)
+{
+	const char *nr = g_getenv("ERA_HISTORIES");
+	const char *first = g_getenv("ERA_SEED");
+	uint32_t seed = first ? (uint32_t)g_ascii_strtoull(first, NULL, 10) : 1;
+	uint32_t end = seed + (nr ? (uint32_t)g_ascii_strtoull(nr, NULL, 10) : HISTORIES);
+
+	for (; seed < end; seed++) {
+		g_test_message("seed %u", seed);
+		test_history(seed);
+	}
+}
+
 struct applied_pages {
 	struct control_state *control_state;
 	struct view_progress progress;
@@ -867,7 +1308,7 @@
 	for (int i = 0; i < 2; i++)
 		control_state_init(&cs[i], &opts);
 	view_progress_init(&pages.progress);
-	control_state_begin_answer(&cs[0], 7);
+	control_state_begin_answer(&cs[0], store_version_make(0, 7), ts_from_ms(START_MS));
 	for (const char *fill = "abc"; *fill; fill++) {
 		char *name = g_strnfill(CONTROL_NAME_MAX_BYTES, *fill);
 		char *zone = g_strnfill(CONTROL_NAME_MAX_BYTES, g_ascii_toupper(*fill));
@@ -877,7 +1318,7 @@
 			.service = symbols_intern(&cs[0].symbols, name),
 			.data_centre = symbols_intern(&cs[0].symbols, zone),
 			.slots = 2,
-			.revision = 7,
+			.revision = store_version_make(0, 7),
 		};
 
 		control_state_put_target(&cs[0], &info, ts_from_ms(START_MS));
@@ -885,9 +1326,9 @@
 		g_free(name);
 		g_free(zone);
 	}
-	control_state_complete(&cs[0], CONTROL_TARGETS, 7);
-	control_state_complete(&cs[0], CONTROL_WITHDRAWALS, 7);
-	changed = registry_changed_since(cs[0].registry, 0, "");
+	control_state_complete(&cs[0], CONTROL_TARGETS, store_version_make(0, 7));
+	control_state_complete(&cs[0], CONTROL_WITHDRAWALS, store_version_make(0, 7));
+	changed = registry_changed_since(cs[0].registry, STORE_VERSION_NONE, "");
 	range.changed = changed;
 	g_assert_true(view_write(&cs[0], &range, ts_from_ms(START_MS), apply_page, &pages));
 	g_assert_cmpuint(pages.nr, ==, 3);
@@ -918,6 +1359,13 @@
 		g_free(path);
 		g_free(credits_path);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(era_scripts); i++) {
+		char *path = g_strconcat("/era/", era_scripts[i].name, NULL);
+
+		g_test_add_data_func(path, &era_scripts[i], test_script);
+		g_free(path);
+	}
+	g_test_add_func("/era/histories", test_histories);
 	g_test_add_func("/relay/largest-page", test_largest_page);
 	return g_test_run();
 }
