--- a/relay-internal.h
+++ b/relay-internal.h
@@ -1,6 +1,6 @@
 /*
  * State shared by the parts of the relay: relay.c (follower), relay-reader.c (reader) and
- * relay-credit.c (messages of credits).
+ * credit/relay-credit.c (messages of credits).
  */
 #ifndef RELAY_INTERNAL_H
 #define RELAY_INTERNAL_H
@@ -122,7 +122,7 @@
 void relay_reader_send_updates(struct relay *relay, bool heartbeat);
 void relay_reader_timer(struct relay *relay);
 
-/* Credits, in relay-credit.c; these functions do nothing without credits. */
+/* Credits, in credit/relay-credit.c; these functions do nothing without credits. */
 void relay_credit_init(struct relay *relay);
 void relay_credit_release(struct relay *relay);
 /* The role has changed. */
