--- a/t/test-relay-credit.c
+++ b/t/test-relay-credit.c
@@ -479,7 +479,7 @@
 	run(sim, 6000);
 	set_demand(sim, 0, 100);
 	set_demand(sim, 1, 15);
-	run(sim, 6500);
+	run(sim, 5000);
 	reader = reader_of(sim, 0);
 	page = metrics_of(reader);
 	check_metric(page, "credit_members", NODES_PER_DC, NODES_PER_DC);
@@ -560,7 +560,7 @@
 	run(sim, 6000);
 	set_demand(sim, 0, 100);
 	set_demand(sim, 1, 15);
-	run(sim, 6500);
+	run(sim, 5000);
 	reader = reader_of(sim, 0);
 	borrowed = status_of(reader).borrowed;
 	g_assert_cmpuint(borrowed, >=, 2);
