--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -486,6 +486,7 @@
         pkt = Packet.decode(raw)
         flow = pkt and self.flows.get(pkt.dport)
         if flow:
+            flow.last_sender = addr[0]
             flow.receive(pkt, self.world)
 
     def tick(self):
