--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -16,6 +16,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import zlib
 
@@ -31,6 +32,7 @@
 HEARTBEAT_S = 0.77
 READY_POLL_S = 0.5
 MASK = 0xFFFFFFFF
+LIFE_S = 110  # of a case; scripts may run for 120 s
 
 
 def ip_number(text):
@@ -655,13 +657,23 @@
     os._exit(code)  # connections of the stand-ins may still be open
 
 
+def give_up(world):
+    """Ends a case that hangs, with all that it started."""
+    world.stop()
+    os._exit(2)
+
+
 def run_story(world, story, rule):
     async def run():
         await world.start()
         await asyncio.wait_for(story(), 90)
 
+    watchdog = threading.Timer(LIFE_S, give_up, [world])
+    watchdog.daemon = True
+    watchdog.start()
     try:
-        asyncio.run(run())
+        # Not asyncio.run(): its clean-up waits for tasks, and a cancellation can be lost.
+        asyncio.new_event_loop().run_until_complete(run())
     except Exception as err:  # the case could not run
         world.record.write("could not run: %r" % err)
         print("could not run: %r" % err)
